--- a/benchmarks/packet_rate.cpp
+++ b/benchmarks/packet_rate.cpp
@@ -4,6 +4,7 @@
 // that other work on the machine does not decide it.
 
 #include "design_size.h"
+#include "ibisdyke/frontends/ip_packet_format.h"
 #include "ibisdyke/frontends/packet_forwarder.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/transport/udp_socket.h"
@@ -242,7 +243,8 @@
     for (int i = 0; i < rounds; ++i) {
         {
             frontends::packet_forwarder forwarder("forwarder",
-                transport::udp_socket::create({loopback, 0}, transport::address_sharing::exclusive),
+                transport::udp_socket::create({loopback, 0}, transport::address_sharing::exclusive), std::nullopt,
+                std::make_shared<const frontends::ip_packet_format>(core::endpoint{}),
                 std::make_unique<routing::chain_router>(), tables, counters, control, [](const auto&, const auto&) {});
             forwarder.start();
             forwarded.push_back(offer(packets, forwarder.local(), end));
--- a/benchmarks/routing_decision.cpp
+++ b/benchmarks/routing_decision.cpp
@@ -4,7 +4,7 @@
 
 #include "design_size.h"
 #include "ibisdyke/frontends/forwarding_snapshot.h"
-#include "ibisdyke/frontends/packet_parser.h"
+#include "ibisdyke/frontends/ip_packet_format.h"
 #include "ibisdyke/routing/chain_router.h"
 
 #include <QJsonDocument>
@@ -112,6 +112,7 @@
     packets.reserve(flows.size());
     for (const auto& it : flows)
         packets.push_back(to_packet(it));
+    const frontends::ip_packet_format format({});
     routing::chain_router router;
     router.use(next->table);
     const core::time_point now = clock_type::now();
@@ -124,7 +125,7 @@
     const auto parse_ns = measure([&] {
         std::size_t sum = 0;
         for (const auto& it : packets)
-            sum += frontends::parse_packet(it).facts.flow.destination_port;
+            sum += format.parse(it).facts.flow.destination_port;
         return sum;
     });
     const auto whole_ns = measure([&] {
@@ -136,7 +137,7 @@
         for (std::size_t i = 0; i < packets.size(); i += batch_size) {
             batch.clear();
             for (std::size_t n = i; n < std::min(i + batch_size, packets.size()); ++n)
-                batch.push_back(frontends::parse_packet(packets[n]).facts);
+                batch.push_back(format.parse(packets[n]).facts);
             for (const auto& it : batch)
                 sum += router.select(it, now)->destination.port;
         }
--- a/fuzz/packets_fuzz.cpp
+++ b/fuzz/packets_fuzz.cpp
@@ -2,7 +2,7 @@
 // core::malformed_message may be thrown.
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/packet_parser.h"
+#include "ibisdyke/frontends/ip_packet_format.h"
 #include "ibisdyke/routing/wire/codec.h"
 
 #include <cstddef>
@@ -12,11 +12,12 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
 {
     using namespace ibisdyke;
+    const frontends::ip_packet_format format({});
     const std::string_view datagram(reinterpret_cast<const char*>(data), n);
-    static_cast<void>(frontends::parse_packet(datagram));
+    static_cast<void>(format.parse(datagram));
     try {
         const auto parts = routing::wire::split_datagram(datagram);
-        static_cast<void>(frontends::parse_packet(parts.packet));
+        static_cast<void>(format.parse(parts.packet));
         if (parts.kind == routing::wire::datagram_kind::packet)
             static_cast<void>(routing::wire::decode_packet_header(parts.message));
         if (parts.kind == routing::wire::datagram_kind::notice)
--- a/libraries/ibisdyke/configuration/apply.cpp
+++ b/libraries/ibisdyke/configuration/apply.cpp
@@ -91,10 +91,11 @@
             present == state_.domains.end() ? domain{it.name, domain_state::in, {{{}, std::nullopt}}} : present->second;
         if (document.state != it.state) {
             document.state = it.state;
-            if (it.state == domain_state::out)
-                document.history.back().to = at_;
-            else
+            // Both `out` and `closed` end an interval in which the domain took new flows.
+            if (it.state == domain_state::in)
                 document.history.push_back({at_, std::nullopt});
+            else if (!document.history.back().to)
+                document.history.back().to = at_;
         }
         if (document.history.size() > max_domain_history)
             document.history.erase(document.history.begin());
@@ -123,6 +124,15 @@
             state_.drained_upstreams.erase(it.id);
     }
 
+    void operator()(const change_route_plan& it)
+    {
+        const auto present = state_.plan.revision;
+        if (it.based_on != present)
+            throw refusal(outcome_kind::conflict, "based_on",
+                "the plan is at revision " + std::to_string(present) + ", not " + std::to_string(it.based_on), present);
+        configuration::apply(state_, it, at_);
+    }
+
 private:
     using service_iterator = std::map<core::service_id, service>::iterator;
 
--- a/libraries/ibisdyke/configuration/change_ledger.cpp
+++ b/libraries/ibisdyke/configuration/change_ledger.cpp
@@ -53,6 +53,7 @@
     document operator()(const put_token& it) const { return find_document(state_.tokens, it.document.digest); }
     document operator()(const remove_token& it) const { return find_document(state_.tokens, it.digest); }
     document operator()(const set_upstream_drain&) const { return {}; }
+    document operator()(const change_route_plan&) const { return {}; }
 
 private:
     const configuration_state& state_;
@@ -71,6 +72,7 @@
     result operator()(const put_token& it) const { return {"token", it.document.digest}; }
     result operator()(const remove_token& it) const { return {"token", it.digest}; }
     result operator()(const set_upstream_drain& it) const { return {"upstream", std::to_string(it.id.value())}; }
+    result operator()(const change_route_plan& it) const { return {"route_plan", std::to_string(it.revision)}; }
 };
 
 } // namespace
--- a/libraries/ibisdyke/configuration/command.h
+++ b/libraries/ibisdyke/configuration/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/configuration/configuration_state.h"
+#include "ibisdyke/configuration/route_plan.h"
 #include "ibisdyke/core/version.h"
 
 #include <optional>
@@ -66,7 +67,7 @@
 };
 
 using change = std::variant<put_profile, remove_profile, put_service, remove_service, set_domain_state, put_token,
-    remove_token, set_upstream_drain>;
+    remove_token, set_upstream_drain, change_route_plan>;
 
 /// An operator's command. All its changes take effect together, or none does.
 struct command {
--- a/libraries/ibisdyke/configuration/configuration_state.h
+++ b/libraries/ibisdyke/configuration/configuration_state.h
@@ -17,6 +17,9 @@
     std::map<core::failure_domain, domain> domains;
     /// By digest.
     std::map<std::string, token> tokens;
+    /// The routes of the plan in force and those that were withdrawn lately, by address.
+    std::map<service_address, route> routes;
+    plan_summary plan;
     /// Upstreams that operators want drained. Read by the leader only; what balancers and agents see is the upstream's
     /// state.
     std::set<core::upstream_id> drained_upstreams;
--- a/libraries/ibisdyke/configuration/messages.h
+++ b/libraries/ibisdyke/configuration/messages.h
@@ -6,6 +6,7 @@
 #include "ibisdyke/core/version_interval.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,16 @@
     friend bool operator==(const profile&, const profile&) = default;
 };
 
+/// What the upstreams of a service bear in a cold start.
+struct cold_start_bound {
+    /// Time from the start of an upstream until it bears its full load; 0 when it needs no care.
+    core::milliseconds duration{0};
+    /// New flows that an upstream bears in that time.
+    double flows_per_second = 0;
+
+    friend bool operator==(const cold_start_bound&, const cold_start_bound&) = default;
+};
+
 /// A service that callers reach by its name (requests) or its addresses (flows).
 struct service {
     core::service_id id;
@@ -71,14 +82,51 @@
     std::vector<service_address> addresses;
     /// The neighbour that its flows are charged to and whose operators may drain its upstreams. Empty: none.
     core::neighbour owner;
+    cold_start_bound cold_start;
 
     friend bool operator==(const service&, const service&) = default;
 };
 
+/// A service that takes new flows of a route, and its share of them relative to the other targets.
+struct weighted_service {
+    core::service_id service;
+    std::uint32_t weight = 1;
+
+    friend bool operator==(const weighted_service&, const weighted_service&) = default;
+};
+
+/// Where the flows to a public address go.
+struct route {
+    std::string name;
+    service_address address;
+    std::vector<weighted_service> targets;
+    /// Services that the route named before and that may still hold flows of it.
+    std::vector<core::service_id> former;
+    /// How long a request may take.
+    core::milliseconds request_timeout{0};
+    /// The plan that removed the route. The record is kept so that the route's open flows are ended.
+    std::optional<std::uint64_t> withdrawn_at;
+
+    friend bool operator==(const route&, const route&) = default;
+};
+
+/// What is known of the route plan in force besides its routes and services.
+struct plan_summary {
+    /// 0 before the first plan.
+    std::uint64_t revision = 0;
+    /// How long a flow may be idle before it may be forgotten; 0 when the plan does not say.
+    core::milliseconds idle_timeout{0};
+
+    friend bool operator==(const plan_summary&, const plan_summary&) = default;
+};
+
 /// Whether operators let traffic into a failure domain.
 enum class domain_state : std::uint8_t {
     in,
+    /// Its upstreams get no packets; their flows are given up.
     out,
+    /// Its upstreams keep their open flows and take no new ones.
+    closed,
 };
 
 struct domain {
--- /dev/null
+++ b/libraries/ibisdyke/configuration/route_plan.cpp
@@ -0,0 +1,188 @@
+#include "ibisdyke/configuration/route_plan.h"
+
+#include "ibisdyke/configuration/validation.h"
+#include "ibisdyke/core/error.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ibisdyke::configuration {
+
+namespace {
+
+/// Withdrawn addresses that are remembered, so that their open flows are ended.
+constexpr std::size_t max_withdrawn = 4096;
+
+/// Services that a route named before and that are searched for its open flows.
+constexpr std::size_t max_former_targets = 6;
+
+/// Distinguishes the services that one record creates. Log indices stay below it.
+constexpr unsigned service_place_shift = 48;
+
+std::string path(const char* list, std::size_t i, const char* field)
+{
+    return std::string(list) + "[" + std::to_string(i) + "]." + field;
+}
+
+void validate_targets(const planned_route& it, std::size_t i, const std::set<std::string>& services)
+{
+    std::uint64_t total = 0;
+    for (const auto& target : it.targets) {
+        if (!services.contains(target.service))
+            throw core::invalid_input(path("routes", i, "targets"), target.service, "a service of the plan");
+        total += target.weight;
+    }
+    if (total == 0)
+        throw core::invalid_input(path("routes", i, "targets"), it.name, "a target with a weight above 0");
+}
+
+const service* find_service(const configuration_state& state, const std::string& name)
+{
+    for (const auto& [id, it] : state.services) {
+        if (it.name == name)
+            return &it;
+    }
+    return nullptr;
+}
+
+/// Whether the recorded route is what the plan asks for.
+bool is_same(const configuration_state& state, const route& known, const planned_route& wanted)
+{
+    if (known.withdrawn_at || known.name != wanted.name || known.request_timeout != wanted.request_timeout
+        || known.targets.size() != wanted.targets.size())
+        return false;
+    return std::equal(
+        known.targets.begin(), known.targets.end(), wanted.targets.begin(), [&state](const auto& a, const auto& b) {
+            const auto service = state.services.find(a.service);
+            return service != state.services.end() && service->second.name == b.service && a.weight == b.weight;
+        });
+}
+
+/// Returns the services that may hold flows of the route and take no new ones.
+std::vector<core::service_id> former_targets(const route& before, const std::vector<weighted_service>& targets)
+{
+    std::vector<core::service_id> result;
+    const auto add = [&](const core::service_id& it) {
+        const bool is_target =
+            std::any_of(targets.begin(), targets.end(), [&it](const auto& target) { return target.service == it; });
+        if (!is_target && std::find(result.begin(), result.end(), it) == result.end())
+            result.push_back(it);
+    };
+    for (const auto& it : before.targets)
+        add(it.service);
+    for (const auto& it : before.former)
+        add(it);
+    if (result.size() > max_former_targets)
+        result.resize(max_former_targets);
+    return result;
+}
+
+void put_services(configuration_state& state, const std::vector<planned_service>& services, const core::version& at)
+{
+    std::uint64_t place = 0;
+    for (const auto& it : services) {
+        const auto* const known = find_service(state, it.name);
+        auto document = known != nullptr ? *known : service{};
+        if (known == nullptr) {
+            document.id = core::service_id((place++ << service_place_shift) | at.index);
+            document.name = it.name;
+        }
+        document.cold_start = it.cold_start;
+        state.services.insert_or_assign(document.id, std::move(document));
+    }
+}
+
+void put_route(configuration_state& state, const planned_route& it)
+{
+    route next{it.name, it.address, {}, {}, it.request_timeout, std::nullopt};
+    for (const auto& target : it.targets) {
+        if (const auto* const known = find_service(state, target.service))
+            next.targets.push_back({known->id, target.weight});
+    }
+    const auto before = state.routes.find(it.address);
+    // The flows of a withdrawn route have been ended.
+    if (before != state.routes.end() && !before->second.withdrawn_at)
+        next.former = former_targets(before->second, next.targets);
+    state.routes.insert_or_assign(it.address, std::move(next));
+}
+
+void forget_withdrawn(configuration_state& state)
+{
+    std::vector<std::pair<std::uint64_t, service_address>> withdrawn;
+    for (const auto& [address, it] : state.routes) {
+        if (it.withdrawn_at)
+            withdrawn.emplace_back(*it.withdrawn_at, address);
+    }
+    if (withdrawn.size() <= max_withdrawn)
+        return;
+    std::sort(withdrawn.begin(), withdrawn.end());
+    withdrawn.resize(withdrawn.size() - max_withdrawn);
+    for (const auto& it : withdrawn)
+        state.routes.erase(it.second);
+}
+
+} // namespace
+
+void validate(const route_plan& it)
+{
+    if (it.revision == 0)
+        throw core::invalid_input("revision", "0", "a number above 0");
+    std::set<std::string> services;
+    for (std::size_t i = 0; i < it.services.size(); ++i) {
+        validate_name(path("services", i, "name"), it.services[i].name);
+        if (!services.insert(it.services[i].name).second)
+            throw core::invalid_input(path("services", i, "name"), it.services[i].name, "a name that no other has");
+    }
+    std::set<service_address> addresses;
+    for (std::size_t i = 0; i < it.routes.size(); ++i) {
+        const auto& route = it.routes[i];
+        if (!addresses.insert(route.address).second)
+            throw core::invalid_input(
+                path("routes", i, "address"), core::to_string(route.address.address), "an address of one route");
+        if (route.request_timeout <= core::milliseconds{0})
+            throw core::invalid_input(path("routes", i, "request_timeout"), "0", "a time above 0");
+        validate_targets(route, i, services);
+    }
+}
+
+change_route_plan make_change(const configuration_state& state, const plan_document& present, const route_plan& next,
+    const std::string& next_document)
+{
+    change_route_plan result;
+    result.based_on = state.plan.revision;
+    result.revision = next.revision;
+    result.idle_timeout = next.idle_timeout;
+    result.services = next.services;
+    std::set<service_address> wanted;
+    for (const auto& it : next.routes) {
+        wanted.insert(it.address);
+        const auto known = state.routes.find(it.address);
+        if (known == state.routes.end() || !is_same(state, known->second, it))
+            result.routes.push_back(it);
+    }
+    for (const auto& [address, it] : state.routes) {
+        if (!it.withdrawn_at && !wanted.contains(address))
+            result.removed.push_back(address);
+    }
+    result.document = make_patch(present.text, next_document);
+    return result;
+}
+
+void apply(configuration_state& state, const change_route_plan& change, const core::version& at)
+{
+    put_services(state, change.services, at);
+    for (const auto& it : change.routes)
+        put_route(state, it);
+    for (const auto& it : change.removed) {
+        const auto known = state.routes.find(it);
+        if (known == state.routes.end())
+            continue;
+        known->second.targets.clear();
+        known->second.former.clear();
+        known->second.withdrawn_at = change.revision;
+    }
+    forget_withdrawn(state);
+    state.plan = {change.revision, change.idle_timeout};
+}
+
+} // namespace ibisdyke::configuration
--- /dev/null
+++ b/libraries/ibisdyke/configuration/tests/route_plan_test.cpp
@@ -0,0 +1,185 @@
+#include "ibisdyke/configuration/apply.h"
+#include "ibisdyke/configuration/route_plan.h"
+#include "ibisdyke/configuration/wire/codec.h"
+#include "ibisdyke/core/error.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisdyke;
+using namespace std::chrono_literals;
+using namespace configuration;
+
+namespace {
+
+constexpr std::uint32_t public_address = 0xc612'0001;
+
+service_address at_port(std::uint16_t port)
+{
+    return {{public_address, port}, transport_protocol::tcp};
+}
+
+route_plan two_routes(std::uint64_t revision)
+{
+    route_plan result;
+    result.revision = revision;
+    result.idle_timeout = 15s;
+    result.services = {{"desk", {2s, 4}}, {"store", {}}};
+    result.routes = {{"feed", at_port(443), {{"desk", 1}}, 1500ms}, {"pull", at_port(8443), {{"store", 1}}, 5s}};
+    return result;
+}
+
+/// Puts plans into force as the state machine of the control group does.
+class planned_state {
+public:
+    void put(const route_plan& plan, const std::string& text)
+    {
+        validate(plan);
+        const auto change = make_change(state, document, plan, text);
+        const command it{core::command_id("order"), "", {}, {change}};
+        // What a log record holds is what its decoder returns.
+        const auto done = apply(state, wire::decode_command(wire::encode(it)), {1, ++index});
+        REQUIRE(done.result.kind == outcome_kind::accepted);
+        state = done.state;
+        document = {plan.revision, apply_patch(change.document, document.text)};
+    }
+
+    const route& at(std::uint16_t port) const { return state.routes.at(at_port(port)); }
+
+    core::service_id id_of(const std::string& name) const
+    {
+        for (const auto& [id, it] : state.services) {
+            if (it.name == name)
+                return id;
+        }
+        return {};
+    }
+
+    configuration_state state;
+    plan_document document;
+    std::uint64_t index = 0;
+};
+
+} // namespace
+
+// Guards against a plan that takes effect in part, or whose services cannot be told apart.
+TEST_CASE("a route plan creates its services and routes")
+{
+    planned_state it;
+    it.put(two_routes(7), "seven");
+    CHECK(it.state.plan == plan_summary{7, 15s});
+    REQUIRE(it.state.services.size() == 2);
+    CHECK(it.id_of("desk") != it.id_of("store"));
+    CHECK(it.state.services.at(it.id_of("desk")).cold_start == cold_start_bound{2s, 4});
+    CHECK(it.at(443).targets == std::vector<weighted_service>{{it.id_of("desk"), 1}});
+    CHECK(it.document == plan_document{7, "seven"});
+    CHECK(wire::decode_configuration_state(wire::encode(it.state)) == it.state);
+    CHECK(wire::decode_plan_document(wire::encode(it.document)) == it.document);
+}
+
+// Guards against open flows that nobody looks for after their route names another service.
+TEST_CASE("a service that a route no longer names is kept as a former one")
+{
+    planned_state it;
+    it.put(two_routes(7), "7");
+    auto next = two_routes(9);
+    next.routes[0].targets = {{"store", 1}};
+    it.put(next, "9");
+    CHECK(it.at(443).targets == std::vector<weighted_service>{{it.id_of("store"), 1}});
+    CHECK(it.at(443).former == std::vector<core::service_id>{it.id_of("desk")});
+    it.put(two_routes(10), "10");
+    CHECK(it.at(443).targets == std::vector<weighted_service>{{it.id_of("desk"), 1}});
+    CHECK(it.at(443).former == std::vector<core::service_id>{it.id_of("store")});
+}
+
+// Guards against flows of a removed route that go on, and against a route that stays withdrawn after it came back.
+TEST_CASE("a removed route is withdrawn until a plan has it again")
+{
+    planned_state it;
+    it.put(two_routes(7), "7");
+    auto next = two_routes(8);
+    next.routes.pop_back();
+    it.put(next, "8");
+    CHECK(it.at(8443).withdrawn_at == 8U);
+    CHECK(it.at(8443).targets.empty());
+    it.put(two_routes(9), "9");
+    CHECK_FALSE(it.at(8443).withdrawn_at);
+    CHECK(it.at(8443).former.empty());
+    CHECK(it.at(8443).targets.size() == 1);
+}
+
+// Guards against a change that was worked out for another plan than the one in force.
+TEST_CASE("a change that is based on another revision is a conflict")
+{
+    planned_state it;
+    it.put(two_routes(7), "7");
+    const auto late = make_change(it.state, it.document, two_routes(8), "8");
+    it.put(two_routes(9), "9");
+    const auto done = apply(it.state, {core::command_id("late"), "", {}, {late}}, {1, 99});
+    CHECK(done.result.kind == outcome_kind::conflict);
+    CHECK(done.result.present_revision == 9);
+    CHECK(done.state == it.state);
+}
+
+// Guards against the cost of hundreds of routes for each change: the record holds what changed.
+TEST_CASE("a change of one route among many holds that route only")
+{
+    planned_state it;
+    auto plan = two_routes(7);
+    std::string text = R"({"version":7,"routes":[)";
+    for (std::uint16_t port = 1000; port < 1400; ++port) {
+        plan.routes.push_back({"r" + std::to_string(port), at_port(port), {{"desk", 1}}, 1s});
+        text += R"({"name":"r)" + std::to_string(port) + R"(","service":"desk"},)";
+    }
+    it.put(plan, text + "]}");
+    plan.revision = 8;
+    plan.routes[200].request_timeout = 2s;
+    const auto change = make_change(it.state, it.document, plan, R"({"version":8)" + text.substr(12) + "]}");
+    CHECK(change.routes.size() == 1);
+    CHECK(change.removed.empty());
+    CHECK(wire::encode(command{core::command_id("x"), "", {}, {change}}).size() < 400);
+}
+
+// Guards against an invalid plan that is put into force.
+TEST_CASE("an invalid route plan is refused with its field")
+{
+    const auto field_of = [](const route_plan& it) {
+        try {
+            validate(it);
+        } catch (const core::invalid_input& e) {
+            return e.field();
+        }
+        return std::string();
+    };
+    CHECK(field_of(two_routes(7)).empty());
+    auto it = two_routes(0);
+    CHECK(field_of(it) == "revision");
+    it = two_routes(7);
+    it.routes[1].targets[0].service = "nobody";
+    CHECK(field_of(it) == "routes[1].targets");
+    it = two_routes(7);
+    it.routes[1].address = it.routes[0].address;
+    CHECK(field_of(it) == "routes[1].address");
+    it = two_routes(7);
+    it.routes[0].request_timeout = 0ms;
+    CHECK(field_of(it) == "routes[0].request_timeout");
+    it = two_routes(7);
+    it.routes[0].targets[0].weight = 0;
+    CHECK(field_of(it) == "routes[0].targets");
+    it = two_routes(7);
+    it.services[1].name = "desk";
+    CHECK(field_of(it) == "services[1].name");
+}
+
+TEST_CASE("a closed failure domain ends its interval and opens another when it is in again")
+{
+    configuration_state state;
+    const auto set = [&state](domain_state to, std::uint64_t index) {
+        const set_domain_state change{core::failure_domain("a"), to};
+        state = apply(state, {core::command_id(std::to_string(index)), "", {}, {change}}, {1, index}).state;
+        return state.domains.at(core::failure_domain("a"));
+    };
+    CHECK(set(domain_state::closed, 5).history == std::vector<core::version_interval>{{{}, core::version{1, 5}}});
+    CHECK(set(domain_state::out, 6).history == std::vector<core::version_interval>{{{}, core::version{1, 5}}});
+    const auto in = set(domain_state::in, 7);
+    CHECK(in.history == std::vector<core::version_interval>{{{}, core::version{1, 5}}, {{1, 7}, std::nullopt}});
+}
--- a/libraries/ibisdyke/configuration/wire/codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/codec.cpp
@@ -59,6 +59,67 @@
     out.mutable_set_upstream_drain()->set_drained(it.drained);
 }
 
+void fill(Change& out, const change_route_plan& it)
+{
+    auto& to = *out.mutable_change_route_plan();
+    to.set_based_on(it.based_on);
+    to.set_revision(it.revision);
+    to.set_idle_timeout_ms(static_cast<std::uint64_t>(it.idle_timeout.count()));
+    for (const auto& service : it.services) {
+        auto& added = *to.add_services();
+        added.set_name(service.name);
+        to_wire(service.cold_start, *added.mutable_cold_start());
+    }
+    for (const auto& route : it.routes) {
+        auto& added = *to.add_routes();
+        added.set_name(route.name);
+        to_wire(route.address, *added.mutable_address());
+        for (const auto& target : route.targets) {
+            added.add_targets()->set_service(target.service);
+            added.mutable_targets()->rbegin()->set_weight(target.weight);
+        }
+        added.set_request_timeout_ms(static_cast<std::uint64_t>(route.request_timeout.count()));
+    }
+    for (const auto& address : it.removed)
+        to_wire(address, *to.add_removed());
+    for (const auto& step : it.document.steps) {
+        auto& added = *to.add_document();
+        added.set_copied_from(step.copied_from);
+        added.set_copied_bytes(step.copied_bytes);
+        added.set_added(step.added);
+    }
+}
+
+core::milliseconds to_duration(std::uint64_t milliseconds)
+{
+    return core::milliseconds(static_cast<core::milliseconds::rep>(milliseconds));
+}
+
+planned_route read(const PlannedRoute& in)
+{
+    planned_route result{in.name(), from_wire(in.address()), {}, to_duration(in.request_timeout_ms())};
+    for (const auto& it : in.targets())
+        result.targets.push_back({it.service(), it.weight()});
+    return result;
+}
+
+change_route_plan read(const ChangeRoutePlan& in)
+{
+    change_route_plan result;
+    result.based_on = in.based_on();
+    result.revision = in.revision();
+    result.idle_timeout = to_duration(in.idle_timeout_ms());
+    for (const auto& it : in.services())
+        result.services.push_back({it.name(), from_wire(it.cold_start())});
+    for (const auto& it : in.routes())
+        result.routes.push_back(read(it));
+    for (const auto& it : in.removed())
+        result.removed.push_back(from_wire(it));
+    for (const auto& it : in.document())
+        result.document.steps.push_back({it.copied_from(), it.copied_bytes(), it.added()});
+    return result;
+}
+
 void fill(Change& out, const change& it)
 {
     std::visit([&](const auto& kind) { fill(out, kind); }, it);
@@ -77,13 +138,15 @@
         return remove_service{in.remove_service()};
     case Change::kSetDomainState:
         return set_domain_state{core::failure_domain(in.set_domain_state().name()),
-            to_enum(in.set_domain_state().state(), domain_state::out, "domain state")};
+            to_enum(in.set_domain_state().state(), domain_state::closed, "domain state")};
     case Change::kPutToken:
         return put_token{from_wire(in.put_token())};
     case Change::kRemoveToken:
         return remove_token{in.remove_token()};
     case Change::kSetUpstreamDrain:
         return set_upstream_drain{core::upstream_id(in.set_upstream_drain().id()), in.set_upstream_drain().drained()};
+    case Change::kChangeRoutePlan:
+        return read(in.change_route_plan());
     case Change::KIND_NOT_SET:
         break;
     }
@@ -202,6 +265,9 @@
         to_wire(t, *out.add_tokens());
     for (const auto& id : it.drained_upstreams)
         out.add_drained_upstreams(id.value());
+    for (const auto& [address, r] : it.routes)
+        to_wire(r, *out.add_routes());
+    to_wire(it.plan, *out.mutable_plan());
     return out.SerializeAsString();
 }
 
@@ -219,9 +285,28 @@
         result.tokens.emplace(it.digest(), from_wire(it));
     for (const auto id : in.drained_upstreams())
         result.drained_upstreams.insert(core::upstream_id(id));
+    for (const auto& it : in.routes()) {
+        auto route = from_wire(it);
+        result.routes.insert_or_assign(route.address, std::move(route));
+    }
+    result.plan = from_wire(in.plan());
     return result;
 }
 
+std::string encode(const plan_document& it)
+{
+    PlanDocument out;
+    out.set_revision(it.revision);
+    out.set_text(it.text);
+    return out.SerializeAsString();
+}
+
+plan_document decode_plan_document(std::string_view bytes)
+{
+    const auto in = parse<PlanDocument>(bytes);
+    return {in.revision(), in.text()};
+}
+
 std::string encode(const change_ledger& it)
 {
     ChangeLedger out;
--- a/libraries/ibisdyke/configuration/wire/codec.h
+++ b/libraries/ibisdyke/configuration/wire/codec.h
@@ -16,6 +16,9 @@
 std::string encode(const configuration_state& it);
 configuration_state decode_configuration_state(std::string_view bytes);
 
+std::string encode(const plan_document& it);
+plan_document decode_plan_document(std::string_view bytes);
+
 std::string encode(const change_ledger& it);
 change_ledger decode_change_ledger(std::string_view bytes);
 
--- a/libraries/ibisdyke/configuration/wire/json_codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/json_codec.cpp
@@ -1,14 +1,11 @@
 #include "ibisdyke/configuration/wire/json_codec.h"
 
+#include "ibisdyke/configuration/wire/object_reader.h"
 #include "ibisdyke/core/error.h"
 
 #include <QJsonArray>
-#include <QJsonDocument>
 
 #include <array>
-#include <cmath>
-#include <limits>
-#include <set>
 #include <utility>
 
 namespace ibisdyke::configuration::wire {
@@ -18,127 +15,14 @@
 constexpr std::array role_names{std::pair(role::caller, "caller"), std::pair(role::read, "read"),
     std::pair(role::operate, "operate"), std::pair(role::administer, "administer")};
 
+constexpr std::array domain_state_names{
+    std::pair(domain_state::in, "in"), std::pair(domain_state::out, "out"), std::pair(domain_state::closed, "closed")};
+
 QString text(const std::string& it)
 {
     return QString::fromStdString(it);
 }
 
-std::string describe(const QJsonValue& value)
-{
-    if (value.isObject())
-        return "an object";
-    if (value.isArray())
-        return "a list";
-    if (value.isString())
-        return value.toString().toStdString();
-    QJsonArray wrapped;
-    wrapped.append(value);
-    auto result = QJsonDocument(wrapped).toJson(QJsonDocument::Compact).toStdString();
-    return result.substr(1, result.size() - 2);
-}
-
-/// Reads the fields of one JSON object, and refuses those that nobody asked for.
-class object_reader {
-public:
-    object_reader(QJsonObject in, std::string path)
-        : in_(std::move(in))
-        , path_(std::move(path))
-    {
-    }
-
-    std::string required_text(const QString& name)
-    {
-        const auto value = take(name);
-        if (!value.isString())
-            fail(name, value, "a text");
-        return value.toString().toStdString();
-    }
-
-    void read_text(const QString& name, std::string& out)
-    {
-        if (in_.contains(name))
-            out = required_text(name);
-    }
-
-    void read_number(const QString& name, double& out)
-    {
-        if (!in_.contains(name))
-            return;
-        const auto value = take(name);
-        if (!value.isDouble())
-            fail(name, value, "a number");
-        out = value.toDouble();
-    }
-
-    template <typename Integer>
-    void read_integer(const QString& name, Integer& out)
-    {
-        if (!in_.contains(name))
-            return;
-        const auto value = take(name);
-        // Doubles above 2^53 do not hold every whole number.
-        constexpr double max_exact = 9007199254740992.0;
-        const double max = std::min(max_exact, static_cast<double>(std::numeric_limits<Integer>::max()));
-        const double number = value.toDouble(-1);
-        if (!value.isDouble() || number < 0 || number > max || std::trunc(number) != number)
-            fail(name, value, "a whole number of at least 0");
-        out = static_cast<Integer>(number);
-    }
-
-    void read_duration(const QString& name, core::milliseconds& out)
-    {
-        auto count = static_cast<std::int64_t>(out.count());
-        read_integer(name, count);
-        out = core::milliseconds(count);
-    }
-
-    template <typename Read>
-    void read_list(const QString& name, Read read)
-    {
-        if (!in_.contains(name))
-            return;
-        const auto value = take(name);
-        if (!value.isArray())
-            fail(name, value, "a list");
-        const auto list = value.toArray();
-        for (qsizetype i = 0; i < list.size(); ++i) {
-            const auto path = path_ + name.toStdString() + "[" + std::to_string(i) + "]";
-            if (!list[i].isObject())
-                throw core::invalid_input(path, describe(list[i]), "an object");
-            object_reader element(list[i].toObject(), path + ".");
-            read(element);
-            element.finish();
-        }
-    }
-
-    /// Throws when the object has a field that was not read.
-    void finish() const
-    {
-        for (auto it = in_.begin(); it != in_.end(); ++it) {
-            if (!taken_.contains(it.key()))
-                throw core::invalid_input(path_ + it.key().toStdString(), describe(it.value()), "no such field");
-        }
-    }
-
-    [[noreturn]] void fail(const QString& name, const QJsonValue& value, const std::string& allowed) const
-    {
-        throw core::invalid_input(path_ + name.toStdString(), value.isUndefined() ? "" : describe(value), allowed);
-    }
-
-    std::string path(const char* name) const { return path_ + name; }
-
-private:
-    QJsonValue take(const QString& name)
-    {
-        taken_.insert(name);
-        return in_.value(name);
-    }
-
-    QJsonObject in_;
-    std::string path_;
-    std::set<QString> taken_;
-};
-
 service_address read_address(object_reader& in)
 {
     service_address result;
@@ -221,7 +105,9 @@
         addresses.append(QJsonObject{{"address", text(core::to_string(address.address))},
             {"protocol", address.protocol == transport_protocol::tcp ? "tcp" : "udp"}});
     return {{"id", static_cast<qint64>(it.id.value())}, {"name", text(it.name)}, {"profile", text(it.profile)},
-        {"addresses", addresses}, {"owner", text(it.owner.value())}};
+        {"addresses", addresses}, {"owner", text(it.owner.value())},
+        {"cold_start_ms", static_cast<qint64>(it.cold_start.duration.count())},
+        {"cold_start_flows_per_second", it.cold_start.flows_per_second}};
 }
 
 service service_from_json(const QJsonObject& in)
@@ -236,6 +122,8 @@
     std::string owner;
     reader.read_text("owner", owner);
     result.owner = core::neighbour(std::move(owner));
+    reader.read_duration("cold_start_ms", result.cold_start.duration);
+    reader.read_number("cold_start_flows_per_second", result.cold_start.flows_per_second);
     reader.read_list("addresses", [&](object_reader& it) { result.addresses.push_back(read_address(it)); });
     reader.finish();
     return result;
@@ -250,8 +138,7 @@
             entry.insert("to", text(core::to_string(*interval.to)));
         history.append(entry);
     }
-    return {
-        {"name", text(it.name.value())}, {"state", it.state == domain_state::in ? "in" : "out"}, {"history", history}};
+    return {{"name", text(it.name.value())}, {"state", text(to_string(it.state))}, {"history", history}};
 }
 
 QJsonObject to_json(const token& it)
@@ -270,6 +157,24 @@
     return result;
 }
 
+std::string to_string(domain_state it)
+{
+    for (const auto& [value, name] : domain_state_names) {
+        if (value == it)
+            return name;
+    }
+    return "in";
+}
+
+domain_state domain_state_from_string(const std::string& text)
+{
+    for (const auto& [value, name] : domain_state_names) {
+        if (text == name)
+            return value;
+    }
+    throw core::invalid_input("state", text, R"("in", "out" or "closed")");
+}
+
 std::string to_string(role it)
 {
     for (const auto& [value, name] : role_names) {
--- a/libraries/ibisdyke/configuration/wire/records.cpp
+++ b/libraries/ibisdyke/configuration/wire/records.cpp
@@ -79,11 +79,10 @@
     message.set_name(value.name);
     message.set_profile(value.profile);
     message.set_owner(value.owner.value());
-    for (const auto& it : value.addresses) {
-        auto& address = *message.add_addresses();
-        to_wire(it.address, *address.mutable_address());
-        address.set_protocol(static_cast<std::uint32_t>(it.protocol));
-    }
+    for (const auto& it : value.addresses)
+        to_wire(it, *message.add_addresses());
+    if (value.cold_start != cold_start_bound{})
+        to_wire(value.cold_start, *message.mutable_cold_start());
 }
 
 service from_wire(const Service& message)
@@ -94,10 +93,75 @@
     result.profile = message.profile();
     result.owner = core::neighbour(message.owner());
     for (const auto& it : message.addresses())
-        result.addresses.push_back({from_wire(it.address()), to_protocol(it.protocol())});
+        result.addresses.push_back(from_wire(it));
+    result.cold_start = from_wire(message.cold_start());
+    return result;
+}
+
+void to_wire(const cold_start_bound& value, ColdStartBound& message)
+{
+    message.set_duration_ms(to_count(value.duration));
+    message.set_flows_per_second(value.flows_per_second);
+}
+
+cold_start_bound from_wire(const ColdStartBound& message)
+{
+    return {to_duration(message.duration_ms()),
+        core::wire::to_finite(message.flows_per_second(), "flows per second in a cold start")};
+}
+
+void to_wire(const service_address& value, ServiceAddress& message)
+{
+    to_wire(value.address, *message.mutable_address());
+    message.set_protocol(static_cast<std::uint32_t>(value.protocol));
+}
+
+service_address from_wire(const ServiceAddress& message)
+{
+    return {from_wire(message.address()), to_protocol(message.protocol())};
+}
+
+void to_wire(const route& value, Route& message)
+{
+    message.set_name(value.name);
+    to_wire(value.address, *message.mutable_address());
+    for (const auto& it : value.targets) {
+        auto& target = *message.add_targets();
+        target.set_service(it.service.value());
+        target.set_weight(it.weight);
+    }
+    for (const auto& it : value.former)
+        message.add_former(it.value());
+    message.set_request_timeout_ms(to_count(value.request_timeout));
+    message.set_withdrawn_at(value.withdrawn_at.value_or(0));
+}
+
+route from_wire(const Route& message)
+{
+    route result;
+    result.name = message.name();
+    result.address = from_wire(message.address());
+    for (const auto& it : message.targets())
+        result.targets.push_back({core::service_id(it.service()), it.weight()});
+    for (const auto it : message.former())
+        result.former.emplace_back(it);
+    result.request_timeout = to_duration(message.request_timeout_ms());
+    if (message.withdrawn_at() != 0)
+        result.withdrawn_at = message.withdrawn_at();
     return result;
 }
 
+void to_wire(const plan_summary& value, PlanSummary& message)
+{
+    message.set_revision(value.revision);
+    message.set_idle_timeout_ms(to_count(value.idle_timeout));
+}
+
+plan_summary from_wire(const PlanSummary& message)
+{
+    return {message.revision(), to_duration(message.idle_timeout_ms())};
+}
+
 void to_wire(const domain& value, Domain& message)
 {
     message.set_name(value.name.value());
@@ -108,7 +172,7 @@
 
 domain from_wire(const Domain& message)
 {
-    if (message.state() > static_cast<std::uint32_t>(domain_state::out))
+    if (message.state() > static_cast<std::uint32_t>(domain_state::closed))
         throw core::malformed_message("domain state " + std::to_string(message.state()) + " is unknown");
     domain result;
     result.name = core::failure_domain(message.name());
--- a/libraries/ibisdyke/configuration/wire/records.h
+++ b/libraries/ibisdyke/configuration/wire/records.h
@@ -13,6 +13,18 @@
 void to_wire(const service& value, Service& message);
 service from_wire(const Service& message);
 
+void to_wire(const cold_start_bound& value, ColdStartBound& message);
+cold_start_bound from_wire(const ColdStartBound& message);
+
+void to_wire(const service_address& value, ServiceAddress& message);
+service_address from_wire(const ServiceAddress& message);
+
+void to_wire(const route& value, Route& message);
+route from_wire(const Route& message);
+
+void to_wire(const plan_summary& value, PlanSummary& message);
+plan_summary from_wire(const PlanSummary& message);
+
 void to_wire(const domain& value, Domain& message);
 domain from_wire(const Domain& message);
 
--- a/libraries/ibisdyke/dissemination/delta.cpp
+++ b/libraries/ibisdyke/dissemination/delta.cpp
@@ -55,11 +55,58 @@
     return it.id;
 }
 
+const configuration::service_address& key_of_route(const configuration::route& it)
+{
+    return it.address;
+}
+
 const std::string& key_of_token(const configuration::token& it)
 {
     return it.digest;
 }
 
+/// Collects the endpoints of `after` that are new or changed, and the keys of those that are missing there.
+template <typename Key>
+void compare_endpoints(const std::map<Key, core::endpoint>& before, const std::map<Key, core::endpoint>& after,
+    std::map<Key, core::endpoint>& changed, std::vector<Key>& removed)
+{
+    for (const auto& [key, endpoint] : after) {
+        const auto known = before.find(key);
+        if (known == before.end() || known->second != endpoint)
+            changed.emplace(key, endpoint);
+    }
+    for (const auto& [key, endpoint] : before) {
+        if (!after.contains(key))
+            removed.push_back(key);
+    }
+}
+
+template <typename Key>
+void replace_endpoints(std::map<Key, core::endpoint>& endpoints, const std::map<Key, core::endpoint>& changed,
+    const std::vector<Key>& removed)
+{
+    for (const auto& it : removed)
+        endpoints.erase(it);
+    for (const auto& [key, endpoint] : changed)
+        endpoints.insert_or_assign(key, endpoint);
+}
+
+template <typename Key>
+void merge_endpoints(std::map<Key, core::endpoint>& changed, std::vector<Key>& removed,
+    const std::map<Key, core::endpoint>& later_changed, const std::vector<Key>& later_removed)
+{
+    std::set<Key> gone(removed.begin(), removed.end());
+    for (const auto& it : later_removed) {
+        changed.erase(it);
+        gone.insert(it);
+    }
+    for (const auto& [key, endpoint] : later_changed) {
+        changed.insert_or_assign(key, endpoint);
+        gone.erase(key);
+    }
+    removed.assign(gone.begin(), gone.end());
+}
+
 /// Lets the later of two deltas win for each key.
 template <typename Record, typename Key, typename KeyOf>
 void merge_records(std::vector<Record>& changed, std::vector<Key>& removed, const std::vector<Record>& later_changed,
@@ -101,15 +148,10 @@
     compare(from.domains, to.domains, result.domains, removed_domains);
     compare(from.tokens, to.tokens, result.tokens, result.removed_tokens);
     compare(before.membership.upstreams, after.membership.upstreams, result.upstreams, result.removed_upstreams);
-    for (const auto& [name, endpoint] : after.membership.relays) {
-        const auto known = before.membership.relays.find(name);
-        if (known == before.membership.relays.end() || known->second != endpoint)
-            result.relays.emplace(name, endpoint);
-    }
-    for (const auto& [name, endpoint] : before.membership.relays) {
-        if (!after.membership.relays.contains(name))
-            result.removed_relays.push_back(name);
-    }
+    compare(from.routes, to.routes, result.routes, result.removed_routes);
+    result.plan = to.plan;
+    compare_endpoints(before.membership.relays, after.membership.relays, result.relays, result.removed_relays);
+    compare_endpoints(before.membership.controls, after.membership.controls, result.controls, result.removed_controls);
     return result;
 }
 
@@ -125,10 +167,10 @@
     replace(configuration.domains, change.domains, std::vector<core::failure_domain>{}, key_of_domain);
     replace(configuration.tokens, change.tokens, change.removed_tokens, key_of_token);
     replace(after->membership.upstreams, change.upstreams, change.removed_upstreams, key_of_upstream);
-    for (const auto& it : change.removed_relays)
-        after->membership.relays.erase(it);
-    for (const auto& [name, endpoint] : change.relays)
-        after->membership.relays.insert_or_assign(name, endpoint);
+    replace(configuration.routes, change.routes, change.removed_routes, key_of_route);
+    configuration.plan = change.plan;
+    replace_endpoints(after->membership.relays, change.relays, change.removed_relays);
+    replace_endpoints(after->membership.controls, change.controls, change.removed_controls);
     return after;
 }
 
@@ -143,16 +185,10 @@
     merge_records(
         result.upstreams, result.removed_upstreams, second.upstreams, second.removed_upstreams, key_of_upstream);
     merge_records(result.tokens, result.removed_tokens, second.tokens, second.removed_tokens, key_of_token);
-    std::set<std::string> removed(first.removed_relays.begin(), first.removed_relays.end());
-    for (const auto& it : second.removed_relays) {
-        result.relays.erase(it);
-        removed.insert(it);
-    }
-    for (const auto& [name, endpoint] : second.relays) {
-        result.relays.insert_or_assign(name, endpoint);
-        removed.erase(name);
-    }
-    result.removed_relays.assign(removed.begin(), removed.end());
+    merge_records(result.routes, result.removed_routes, second.routes, second.removed_routes, key_of_route);
+    result.plan = second.plan;
+    merge_endpoints(result.relays, result.removed_relays, second.relays, second.removed_relays);
+    merge_endpoints(result.controls, result.removed_controls, second.controls, second.removed_controls);
     return result;
 }
 
--- a/libraries/ibisdyke/dissemination/delta.h
+++ b/libraries/ibisdyke/dissemination/delta.h
@@ -24,6 +24,12 @@
     std::vector<std::string> removed_tokens;
     std::map<std::string, core::endpoint> relays;
     std::vector<std::string> removed_relays;
+    std::map<core::control_id, core::endpoint> controls;
+    std::vector<core::control_id> removed_controls;
+    std::vector<configuration::route> routes;
+    std::vector<configuration::service_address> removed_routes;
+    /// Replaces the summary whole.
+    configuration::plan_summary plan;
 
     friend bool operator==(const delta&, const delta&) = default;
 };
--- a/libraries/ibisdyke/dissemination/source_selector.h
+++ b/libraries/ibisdyke/dissemination/source_selector.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace ibisdyke::dissemination {
@@ -22,6 +23,9 @@
     source_selector(std::vector<core::endpoint> controls, std::vector<core::endpoint> peers,
         std::optional<core::endpoint> own, std::size_t start);
 
+    /// Replaces the control processes.
+    void set_controls(std::vector<core::endpoint> controls) { controls_ = std::move(controls); }
+
     /// Replaces the relays that the system state lists.
     void set_relays(std::vector<core::endpoint> relays) { relays_ = std::move(relays); }
 
--- a/libraries/ibisdyke/dissemination/tests/codec_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/codec_test.cpp
@@ -110,6 +110,6 @@
     change.tokens.front().granted = static_cast<configuration::role>(4);
     CHECK_THROWS_AS(wire::decode_delta(wire::encode(change)), core::malformed_message);
     change = full_delta();
-    change.domains.front().state = static_cast<configuration::domain_state>(2);
+    change.domains.front().state = static_cast<configuration::domain_state>(3);
     CHECK_THROWS_AS(wire::decode_delta(wire::encode(change)), core::malformed_message);
 }
--- a/libraries/ibisdyke/dissemination/wire/codec.cpp
+++ b/libraries/ibisdyke/dissemination/wire/codec.cpp
@@ -34,6 +34,9 @@
     for (const auto& [digest, it] : value.configuration.tokens)
         to_wire(it, *message.add_tokens());
     to_wire(value.membership, *message.mutable_membership());
+    for (const auto& [address, it] : value.configuration.routes)
+        to_wire(it, *message.add_routes());
+    to_wire(value.configuration.plan, *message.mutable_plan());
 }
 
 system_state state_from_wire(const SystemState& message)
@@ -50,6 +53,11 @@
     for (const auto& it : message.tokens())
         configuration.tokens.insert_or_assign(it.digest(), from_wire(it));
     result.membership = from_wire(message.membership());
+    for (const auto& it : message.routes()) {
+        auto route = from_wire(it);
+        configuration.routes.insert_or_assign(route.address, std::move(route));
+    }
+    configuration.plan = from_wire(message.plan());
     return result;
 }
 
@@ -79,6 +87,15 @@
         to_wire(endpoint, (*message.mutable_relays())[name]);
     for (const auto& it : value.removed_relays)
         message.add_removed_relays(it);
+    for (const auto& [id, endpoint] : value.controls)
+        to_wire(endpoint, (*message.mutable_controls())[id.value()]);
+    for (const auto& it : value.removed_controls)
+        message.add_removed_controls(it.value());
+    for (const auto& it : value.routes)
+        to_wire(it, *message.add_routes());
+    for (const auto& it : value.removed_routes)
+        to_wire(it, *message.add_removed_routes());
+    to_wire(value.plan, *message.mutable_plan());
 }
 
 delta delta_from_wire(const Delta& message)
@@ -105,6 +122,15 @@
     for (const auto& [name, endpoint] : message.relays())
         result.relays.emplace(name, from_wire(endpoint));
     result.removed_relays.assign(message.removed_relays().begin(), message.removed_relays().end());
+    for (const auto& [id, endpoint] : message.controls())
+        result.controls.emplace(core::control_id(id), from_wire(endpoint));
+    for (const auto it : message.removed_controls())
+        result.removed_controls.emplace_back(it);
+    for (const auto& it : message.routes())
+        result.routes.push_back(from_wire(it));
+    for (const auto& it : message.removed_routes())
+        result.removed_routes.push_back(from_wire(it));
+    result.plan = from_wire(message.plan());
     return result;
 }
 
--- a/libraries/ibisdyke/frontends/admin_api.cpp
+++ b/libraries/ibisdyke/frontends/admin_api.cpp
@@ -254,12 +254,8 @@
 
 void admin_api::set_domain(const exchange_pointer& it)
 {
-    const auto state = it->text_field("state");
-    if (state != "in" && state != "out")
-        throw core::invalid_input("state", state, R"("in" or "out")");
-    submit(it,
-        {configuration::set_domain_state{core::failure_domain(it->name()),
-            state == "in" ? configuration::domain_state::in : configuration::domain_state::out}});
+    const auto state = configuration::wire::domain_state_from_string(it->text_field("state"));
+    submit(it, {configuration::set_domain_state{core::failure_domain(it->name()), state}});
 }
 
 void admin_api::set_upstream(const exchange_pointer& it)
--- a/libraries/ibisdyke/frontends/admin_exchange.cpp
+++ b/libraries/ibisdyke/frontends/admin_exchange.cpp
@@ -99,6 +99,12 @@
         responder_.write(it, mime_type);
 }
 
+void admin_exchange::answer_redirect(const std::string& location)
+{
+    if (can_answer())
+        responder_.write({{"Location", QByteArray::fromStdString(location)}}, status::TemporaryRedirect);
+}
+
 void admin_exchange::answer_error(status code, const std::string& message, const std::string& field)
 {
     QJsonObject body{{"error", QString::fromStdString(message)}};
--- a/libraries/ibisdyke/frontends/admin_exchange.h
+++ b/libraries/ibisdyke/frontends/admin_exchange.h
@@ -61,6 +61,9 @@
     void answer(const QJsonObject& it, status code = status::Ok);
     void answer(const QByteArray& it, const QByteArray& mime_type);
 
+    /// Sends the client to another address, to send the same request there.
+    void answer_redirect(const std::string& location);
+
     /// Answers with a message and, where one is at fault, the name of the field.
     void answer_error(status code, const std::string& message, const std::string& field = {});
 
--- a/libraries/ibisdyke/frontends/admin_server.cpp
+++ b/libraries/ibisdyke/frontends/admin_server.cpp
@@ -10,6 +10,12 @@
 
 namespace ibisdyke::frontends {
 
+void listen(QHttpServer& server, const core::endpoint& address)
+{
+    if (server.listen(QHostAddress(address.address), address.port) == 0)
+        throw core::system_failure("cannot listen on " + to_string(address));
+}
+
 admin_server::admin_server(QJsonObject process, const observability::counter_registry& counters,
     std::vector<const observability::state_reporter*> reporters, health_check check, QObject* parent)
     : QObject(parent)
@@ -34,8 +40,7 @@
 
 void admin_server::listen(const core::endpoint& address)
 {
-    if (http_->listen(QHostAddress(address.address), address.port) == 0)
-        throw core::system_failure("cannot listen on " + to_string(address));
+    frontends::listen(*http_, address);
 }
 
 QJsonObject admin_server::dump() const
--- a/libraries/ibisdyke/frontends/admin_server.h
+++ b/libraries/ibisdyke/frontends/admin_server.h
@@ -24,6 +24,9 @@
     friend bool operator==(const health&, const health&) = default;
 };
 
+/// Makes a server listen at an address. Throws core::system_failure when it cannot be bound.
+void listen(QHttpServer& server, const core::endpoint& address);
+
 /// The local administration address of a process: GET /state (dump), /metrics (counters) and /health (status 200 or
 /// 503). Runs on the control thread.
 class admin_server : public QObject {
--- a/libraries/ibisdyke/frontends/control_group.h
+++ b/libraries/ibisdyke/frontends/control_group.h
@@ -7,6 +7,7 @@
 #include "ibisdyke/membership/membership_change.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <variant>
 
@@ -43,6 +44,9 @@
     /// The peer endpoint (HTTP/2) of the leader, when known.
     virtual std::optional<core::endpoint> leader() const = 0;
 
+    /// The members of the group with their peer endpoints, as this process knows them.
+    virtual std::map<core::control_id, core::endpoint> members() const = 0;
+
     /// Proposes a command. The callback runs exactly once.
     virtual void submit(const control_command& command, submit_callback done) = 0;
 
--- /dev/null
+++ b/libraries/ibisdyke/frontends/control_settings.cpp
@@ -0,0 +1,28 @@
+#include "ibisdyke/frontends/control_settings.h"
+
+namespace ibisdyke::frontends {
+
+namespace {
+
+constexpr std::uint64_t max_port = 65'535;
+
+} // namespace
+
+void declare_peer_port(settings::settings_parser& parser)
+{
+    parser.add_number("peer-port",
+        "Port of the control processes' peer addresses, when their listed endpoints have another one", 0, 0, max_port);
+}
+
+std::vector<core::endpoint> peer_endpoints(const settings::setting_values& values, const std::string& flag)
+{
+    auto result = values.endpoints(flag);
+    const auto port = static_cast<std::uint16_t>(values.number("peer-port"));
+    for (auto& it : result) {
+        if (port != 0)
+            it.port = port;
+    }
+    return result;
+}
+
+} // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/control_state_machine.cpp
+++ b/libraries/ibisdyke/frontends/control_state_machine.cpp
@@ -25,9 +25,20 @@
     auto done = configuration::apply(state_.system->configuration, it, at);
     state_.ledger = configuration::record(state_.ledger, it, done.result, state_.system->configuration, done.state, at);
     last_outcome_ = done.result;
-    if (done.result.kind == configuration::outcome_kind::accepted)
-        state_.system = std::make_shared<const dissemination::system_state>(
-            dissemination::system_state{at, std::move(done.state), state_.system->membership});
+    if (done.result.kind != configuration::outcome_kind::accepted)
+        return;
+    keep_documents(it);
+    state_.system = std::make_shared<const dissemination::system_state>(
+        dissemination::system_state{at, std::move(done.state), state_.system->membership});
+}
+
+void control_state_machine::keep_documents(const configuration::command& it)
+{
+    for (const auto& change : it.changes) {
+        if (const auto* const plan = std::get_if<configuration::change_route_plan>(&change))
+            state_.plan_document = {
+                plan->revision, configuration::apply_patch(plan->document, state_.plan_document.text)};
+    }
 }
 
 void control_state_machine::apply(const membership::membership_change& it, const core::version& at)
--- a/libraries/ibisdyke/frontends/control_state_machine.h
+++ b/libraries/ibisdyke/frontends/control_state_machine.h
@@ -21,6 +21,8 @@
 
 private:
     void apply(const configuration::command& it, const core::version& at);
+    /// Keeps the documents of accepted route plans.
+    void keep_documents(const configuration::command& it);
     void apply(const membership::membership_change& it, const core::version& at);
     void apply(const accounting::usage_batch& it, const core::version& at);
 
--- a/libraries/ibisdyke/frontends/daemon.cpp
+++ b/libraries/ibisdyke/frontends/daemon.cpp
@@ -7,13 +7,14 @@
 namespace ibisdyke::frontends {
 
 int run_program(const settings::settings_parser& parser, int argc, const char* const* argv,
-    const std::function<exit_code(const settings::setting_values&)>& body)
+    const std::function<exit_code(const settings::settings_source&)>& body)
 {
     try {
         const auto values = parser.parse(argc, argv);
         if (!values)
             return static_cast<int>(exit_code::success);
-        return static_cast<int>(body(*values));
+        const settings::settings_source source(parser, argc, argv, *values);
+        return static_cast<int>(body(source));
     } catch (const core::invalid_input& it) {
         std::cerr << it.what() << '\n';
         return static_cast<int>(exit_code::bad_setting);
--- a/libraries/ibisdyke/frontends/daemon.h
+++ b/libraries/ibisdyke/frontends/daemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/settings/settings_parser.h"
+#include "ibisdyke/settings/settings_source.h"
 
 #include <functional>
 
@@ -16,8 +16,8 @@
 };
 
 /// Reads the settings and runs `body`; turns exceptions into a message on standard error and an exit code. The body
-/// gets the checked settings and returns the exit code.
+/// gets the checked settings, with their source for a reload, and returns the exit code.
 int run_program(const settings::settings_parser& parser, int argc, const char* const* argv,
-    const std::function<exit_code(const settings::setting_values&)>& body);
+    const std::function<exit_code(const settings::settings_source&)>& body);
 
 } // namespace ibisdyke::frontends
--- /dev/null
+++ b/libraries/ibisdyke/frontends/group_upkeep.cpp
@@ -0,0 +1,159 @@
+#include "ibisdyke/frontends/group_upkeep.h"
+
+#include "ibisdyke/core/error.h"
+#include "ibisdyke/observability/log.h"
+#include "ibisdyke/replication/wire/codec.h"
+#include "ibisdyke/transport/clock.h"
+
+#include <QPointer>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibisdyke::frontends {
+
+namespace {
+
+constexpr const char* join_path = "/replication/join";
+constexpr core::milliseconds tick_period{200};
+constexpr core::milliseconds join_timeout{500};
+
+/// A process that has heard of no leader for this long asks to join: longer than several elections.
+constexpr core::milliseconds leader_silence{1'000};
+
+/// The pause between two requests to join.
+constexpr core::milliseconds join_pause{400};
+
+std::string name_of(const replication::member& it)
+{
+    return std::to_string(it.id.value()) + " at " + to_string(it.peer_endpoint);
+}
+
+} // namespace
+
+group_upkeep::group_upkeep(replicated_control_group& group, replication::member self, std::vector<core::endpoint> seeds,
+    transport::rpc_router& router, observability::counter_sink& counters, std::uint32_t source_address,
+    transport::traffic_meter* meter, const replication::group_limits& limits, QObject* parent)
+    : QObject(parent)
+    , group_(group)
+    , self_(std::move(self))
+    , seeds_(std::move(seeds))
+    , counters_(counters)
+    , source_address_(source_address)
+    , meter_(meter)
+    , limits_(limits)
+    , asked_(transport::read_clock())
+{
+    router.add_call(join_path, [self = QPointer<group_upkeep>(this)](const auto& body, const auto& answer) {
+        if (self)
+            self->on_join(body, answer);
+    });
+    connect(&timer_, &QTimer::timeout, this, &group_upkeep::on_tick);
+    timer_.start(tick_period);
+}
+
+void group_upkeep::on_join(const std::string& body, const std::shared_ptr<transport::rpc_responder>& answer)
+{
+    try {
+        const auto joining = replication::wire::decode_member(body);
+        if (group_.is_leader())
+            add(joining);
+        answer->respond(replication::wire::encode(replication::join_answer{group_.leader()}));
+    } catch (const core::malformed_message&) {
+        counters_.add("join_requests_malformed", 1);
+        answer->refuse();
+    }
+}
+
+void group_upkeep::add(const replication::member& joining)
+{
+    if (!replication::may_join(members(transport::read_clock()), joining, limits_))
+        return;
+    group_.add_member(joining, [joining](replication::proposal_status status) {
+        if (status == replication::proposal_status::appended)
+            observability::write_log(
+                observability::log_level::info, "took control process " + name_of(joining) + " into the group");
+    });
+}
+
+void group_upkeep::on_tick()
+{
+    if (group_.is_leader())
+        remove_silent();
+    else if (!group_.has_heard_leader(leader_silence))
+        ask_to_join();
+}
+
+std::vector<replication::member_view> group_upkeep::members(core::time_point now) const
+{
+    std::vector<replication::member_view> result;
+    for (const auto& it : group_.node().configuration().members)
+        result.push_back({it, group_.node().silence_of(it.id, now)});
+    return result;
+}
+
+void group_upkeep::remove_silent()
+{
+    if (removing_)
+        return;
+    const auto removed = replication::member_to_remove(members(transport::read_clock()), limits_);
+    if (!removed)
+        return;
+    removing_ = true;
+    group_.remove_member(*removed, [self = QPointer<group_upkeep>(this), id = *removed](auto status) {
+        if (!self)
+            return;
+        self->removing_ = false;
+        if (status != replication::proposal_status::appended)
+            return;
+        self->counters_.add("group_members_removed", 1);
+        observability::write_log(observability::log_level::warning,
+            "removed the silent control process " + std::to_string(id.value()) + " from the group");
+    });
+}
+
+std::vector<core::endpoint> group_upkeep::contacts() const
+{
+    auto result = seeds_;
+    for (const auto& [id, endpoint] : group_.members())
+        result.push_back(endpoint);
+    std::erase(result, self_.peer_endpoint);
+    return result;
+}
+
+void group_upkeep::ask_to_join()
+{
+    const auto now = transport::read_clock();
+    if (asking_ || now - asked_ < join_pause)
+        return;
+    const auto known = contacts();
+    if (known.empty())
+        return;
+    const auto target = std::exchange(named_leader_, std::nullopt).value_or(known[next_contact_++ % known.size()]);
+    if (target == self_.peer_endpoint)
+        return;
+    asked_ = now;
+    asking_ = true;
+    client_ =
+        std::make_unique<transport::http2_client>(target, source_address_, transport::http2_limits{}, meter_, nullptr);
+    counters_.add("join_requests_sent", 1);
+    transport::rpc_client(*client_).call(join_path, replication::wire::encode(self_), join_timeout,
+        [self = QPointer<group_upkeep>(this)](const auto& result) {
+            if (self)
+                self->on_answer(result);
+        });
+}
+
+void group_upkeep::on_answer(const transport::rpc_result& result)
+{
+    asking_ = false;
+    if (result.status != transport::rpc_status::ok)
+        return;
+    try {
+        named_leader_ = replication::wire::decode_join_answer(result.body).leader;
+    } catch (const core::malformed_message&) {
+        counters_.add("join_answers_malformed", 1);
+    }
+}
+
+} // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/heartbeat_sender.cpp
@@ -7,6 +7,7 @@
 #include <QPointer>
 #include <QRandomGenerator>
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisdyke::frontends {
@@ -15,7 +16,9 @@
     observability::counter_sink& counters, transport::traffic_meter* meter, fill_callback fill,
     answer_callback on_answer, QObject* parent)
     : QObject(parent)
+    , source_address_(source_address)
     , counters_(counters)
+    , meter_(meter)
     , fill_(std::move(fill))
     , on_answer_(std::move(on_answer))
     , sequence_(static_cast<std::uint64_t>(
@@ -23,14 +26,37 @@
 {
     if (controls.empty())
         throw core::invalid_input("control", "", "at least one endpoint of a control process");
-    for (const auto& it : controls)
-        clients_.push_back(
-            new transport::http2_client(it, source_address, transport::http2_limits{}, meter, this)); // NOLINT
+    set_controls(controls);
     current_ = QRandomGenerator::global()->bounded(static_cast<quint32>(controls.size()));
     timer_.setTimerType(Qt::PreciseTimer);
     connect(&timer_, &QTimer::timeout, this, &heartbeat_sender::on_tick);
 }
 
+void heartbeat_sender::set_controls(const std::vector<core::endpoint>& controls)
+{
+    if (controls.empty())
+        return;
+    const auto in_use = clients_.empty() ? core::endpoint{} : control();
+    std::vector<transport::http2_client*> next;
+    for (const auto& it : controls) {
+        const auto known =
+            std::find_if(clients_.begin(), clients_.end(), [&it](const auto* client) { return client->peer() == it; });
+        if (known == clients_.end()) {
+            next.push_back(
+                new transport::http2_client(it, source_address_, transport::http2_limits{}, meter_, this)); // NOLINT
+            continue;
+        }
+        next.push_back(*known);
+        clients_.erase(known);
+    }
+    for (auto* const it : clients_)
+        it->deleteLater();
+    clients_ = std::move(next);
+    const auto kept = std::find_if(
+        clients_.begin(), clients_.end(), [&in_use](const auto* client) { return client->peer() == in_use; });
+    current_ = kept == clients_.end() ? 0 : static_cast<std::size_t>(kept - clients_.begin());
+}
+
 void heartbeat_sender::start()
 {
     timer_.start(period);
@@ -50,34 +76,34 @@
     counters_.add("heartbeats_sent", 1);
     transport::rpc_client rpc(*clients_[current_]);
     rpc.call("/membership/heartbeat", membership::wire::encode(message), answer_timeout,
-        [self = QPointer<heartbeat_sender>(this), client = current_](const auto& result) {
+        [self = QPointer<heartbeat_sender>(this), to = control()](const auto& result) {
             if (self)
-                self->on_result(client, result);
+                self->on_result(to, result);
         });
 }
 
-void heartbeat_sender::on_result(std::size_t client, const transport::rpc_result& result)
+void heartbeat_sender::on_result(const core::endpoint& control, const transport::rpc_result& result)
 {
     if (result.status != transport::rpc_status::ok) {
         counters_.add("heartbeats_unanswered", 1);
-        move_on(client);
+        move_on(control);
         return;
     }
     try {
         const auto answer = membership::wire::decode_heartbeat_answer(result.body);
         if (answer.result == membership::heartbeat_result::no_leader)
-            move_on(client);
+            move_on(control);
         on_answer_(answer);
     } catch (const core::malformed_message&) {
         counters_.add("heartbeat_answers_malformed", 1);
-        move_on(client);
+        move_on(control);
     }
 }
 
-void heartbeat_sender::move_on(std::size_t failed)
+void heartbeat_sender::move_on(const core::endpoint& failed)
 {
     // Several calls to the same process fail together; only the first of them moves on.
-    if (failed != current_ || clients_.size() == 1)
+    if (failed != control() || clients_.size() == 1)
         return;
     current_ = (current_ + 1) % clients_.size();
     if (resends_left_ == 0)
--- a/libraries/ibisdyke/frontends/heartbeat_sender.h
+++ b/libraries/ibisdyke/frontends/heartbeat_sender.h
@@ -48,15 +48,20 @@
     /// Sends a heartbeat now, for a change that cannot wait, such as the beginning of a drain.
     void send_now();
 
+    /// Replaces the control processes, at least one. The one in use stays in use when it is among them.
+    void set_controls(const std::vector<core::endpoint>& controls);
+
     /// The control process in use.
     const core::endpoint& control() const { return clients_[current_]->peer(); }
 
 private:
     void on_tick();
-    void on_result(std::size_t client, const transport::rpc_result& result);
-    void move_on(std::size_t failed);
+    void on_result(const core::endpoint& control, const transport::rpc_result& result);
+    void move_on(const core::endpoint& failed);
 
+    std::uint32_t source_address_;
     observability::counter_sink& counters_;
+    transport::traffic_meter* meter_;
     fill_callback fill_;
     answer_callback on_answer_;
     std::vector<transport::http2_client*> clients_;
--- a/libraries/ibisdyke/frontends/packet_parser.cpp
+++ b/libraries/ibisdyke/frontends/ip_packet_format.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/packet_parser.h"
+#include "ibisdyke/frontends/ip_packet_format.h"
 
 #include <algorithm>
 #include <array>
@@ -146,7 +146,7 @@
 
 } // namespace
 
-parsed_packet parse_packet(std::string_view packet)
+parsed_packet ip_packet_format::parse(std::string_view packet) const
 {
     const auto header_bytes = ip_header_bytes(packet);
     if (header_bytes < min_ip_header_bytes || header_bytes > packet.size())
@@ -164,9 +164,9 @@
     }
 }
 
-std::optional<std::string> make_reject(std::string_view packet)
+std::optional<std::string> ip_packet_format::make_reject(std::string_view packet) const
 {
-    const auto parsed = parse_packet(packet);
+    const auto parsed = parse(packet);
     if (parsed.status != parse_status::parsed)
         return std::nullopt;
     const auto header_bytes = ip_header_bytes(packet);
@@ -188,4 +188,9 @@
     return to_string(whole.serialize());
 }
 
+core::endpoint ip_packet_format::caller_endpoint(std::string_view /*packet*/) const
+{
+    return caller_return_;
+}
+
 } // namespace ibisdyke::frontends
--- /dev/null
+++ b/libraries/ibisdyke/frontends/ip_packet_format.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "ibisdyke/frontends/packet_format.h"
+
+namespace ibisdyke::frontends {
+
+/// IPv4 packets, each in a UDP datagram. Upstreams answer callers directly, past their agents, and return nothing.
+class ip_packet_format final : public packet_format {
+public:
+    /// Packets to callers go to `caller_return`, each in a UDP datagram.
+    explicit ip_packet_format(const core::endpoint& caller_return)
+        : caller_return_(caller_return)
+    {
+    }
+
+    parsed_packet parse(std::string_view packet) const override;
+
+    /// Returns a TCP RST, or an ICMP port unreachable for UDP.
+    std::optional<std::string> make_reject(std::string_view packet) const override;
+
+    core::endpoint caller_endpoint(std::string_view packet) const override;
+
+private:
+    core::endpoint caller_return_;
+};
+
+} // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/lease_manager.cpp
+++ b/libraries/ibisdyke/frontends/lease_manager.cpp
@@ -216,6 +216,7 @@
     if (!table_)
         return;
     table_->tick(now);
+    table_->set_controls(group_.members());
     propose(now);
     submit_usage(now);
 }
--- a/libraries/ibisdyke/frontends/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packet_forwarder.cpp
@@ -1,7 +1,6 @@
 #include "ibisdyke/frontends/packet_forwarder.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/packet_parser.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -19,17 +18,23 @@
 /// The thread wakes this often without packets, so that it lets go of an old table.
 constexpr core::milliseconds idle_wait{1'000};
 
+/// Bounds the resets for packets without a route, which a flood with forged sources could misuse.
+constexpr double answers_per_second = 1'000;
+
 /// Many agents report the same new version at once; one call is enough to refresh.
 constexpr std::chrono::milliseconds notice_interval{100};
 
 } // namespace
 
 packet_forwarder::packet_forwarder(std::string name, std::unique_ptr<transport::datagram_socket> socket,
+    std::optional<core::endpoint> notices, std::shared_ptr<const packet_format> format,
     std::unique_ptr<routing::router> router, const core::snapshot_publisher<forwarding_snapshot>& tables,
     observability::counter_registry& counters, QObject& control, newer_version_callback on_newer_version)
     : name_(std::move(name))
     , socket_(std::move(socket))
     , local_(socket_->local())
+    , notices_endpoint_(notices)
+    , format_(std::move(format))
     , router_(std::move(router))
     , tables_(tables)
     , control_(control)
@@ -38,12 +43,14 @@
     , forwarded_bytes_(counters.find("forwarder_bytes"))
     , without_table_(counters.find("forwarder_dropped_without_table"))
     , without_service_(counters.find("forwarder_dropped_without_upstream"))
+    , rejected_(counters.find("forwarder_rejected_without_route"))
     , malformed_(counters.find("forwarder_dropped_malformed"))
     , fragments_(counters.find("forwarder_dropped_fragments"))
     , unsupported_(counters.find("forwarder_dropped_unsupported"))
     , send_failures_(counters.find("forwarder_send_failures"))
     , notices_(counters.find("forwarder_version_notices"))
     , batch_(batch_size)
+    , answers_(answers_per_second, answers_per_second)
 {
     outgoing_.reserve(batch_size);
 }
@@ -99,12 +106,13 @@
         return;
     router_->use(latest->table);
     table_ = std::move(latest);
-    origin_ = routing::wire::encode_origin(table_->table->chains->at(), local_);
+    origin_ = routing::wire::encode_origin(table_->table->chains->at(), notices_endpoint_.value_or(local_));
 }
 
 void packet_forwarder::handle_batch(core::time_point now)
 {
     outgoing_.clear();
+    made_.clear();
     packets_.clear();
     routes_.clear();
     // Each step runs over the whole batch: the decisions wait for memory, and close together they wait at the same
@@ -117,7 +125,7 @@
         if (routes_[n])
             send_on(packets_[n].first, *routes_[n]);
         else
-            without_service_.add(1);
+            answer_unrouted(packets_[n].first, packets_[n].second, now);
     }
     std::uint64_t bytes = 0;
     for (const auto& it : outgoing_)
@@ -129,8 +137,27 @@
         send_failures_.add(refused);
 }
 
+/// A flow that begins at an address without a route is rejected at once, as is an open flow whose route was withdrawn.
+/// Other packets may belong to a route that this balancer has not heard of yet.
+void packet_forwarder::answer_unrouted(std::size_t i, const routing::packet_facts& facts, core::time_point now)
+{
+    without_service_.add(1);
+    const auto state = table_->table->chains->destinations().state_of(facts.flow);
+    const bool rejected = facts.kind == routing::packet_kind::syn || state == routing::address_state::withdrawn;
+    if (!rejected || !answers_.take(now))
+        return;
+    auto answer = format_->make_reject(batch_.bytes(i));
+    if (!answer)
+        return;
+    rejected_.add(1);
+    made_.push_back(std::make_unique<const std::string>(*std::move(answer)));
+    outgoing_.push_back({*made_.back(), format_->caller_endpoint(*made_.back())});
+}
+
 void packet_forwarder::read(std::size_t i, core::time_point now)
 {
+    if (notices_endpoint_)
+        return read_packet(i, batch_.bytes(i));
     try {
         const auto parts = routing::wire::split_datagram(batch_.bytes(i));
         switch (parts.kind) {
@@ -152,7 +179,7 @@
 {
     if (!table_)
         return without_table_.add(1);
-    const auto parsed = parse_packet(packet);
+    const auto parsed = format_->parse(packet);
     switch (parsed.status) {
     case parse_status::parsed:
         packets_.emplace_back(i, parsed.facts);
--- a/libraries/ibisdyke/frontends/packet_forwarder.h
+++ b/libraries/ibisdyke/frontends/packet_forwarder.h
@@ -5,8 +5,10 @@
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/core/version.h"
 #include "ibisdyke/frontends/forwarding_snapshot.h"
+#include "ibisdyke/frontends/packet_format.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/state_reporter.h"
+#include "ibisdyke/routing/rate_limiter.h"
 #include "ibisdyke/routing/router.h"
 #include "ibisdyke/transport/datagram_socket.h"
 
@@ -32,7 +34,7 @@
 ///
 ///     core::snapshot_publisher<frontends::forwarding_snapshot> tables;
 ///     auto socket = transport::udp_socket::create(packet_endpoint, transport::address_sharing::shared);
-///     frontends::packet_forwarder forwarder("packet_forwarder_0", std::move(socket),
+///     frontends::packet_forwarder forwarder("packet_forwarder_0", std::move(socket), std::nullopt, format,
 ///         std::make_unique<routing::chain_router>(), tables, counters, *control_context,
 ///         [&](const core::version& latest, const core::endpoint& agent) { subscription.refresh_to(latest); });
 ///     forwarder.start();
@@ -44,9 +46,11 @@
     /// Called on the control thread when an agent has a newer version than this balancer.
     using newer_version_callback = std::function<void(const core::version& latest, const core::endpoint& agent)>;
 
-    /// `name` is the key in the state dump. `control` is an object of the control thread, which must have an event
-    /// loop; it and the other references must outlive the forwarder.
+    /// `name` is the key in the state dump. Version notices go to `notices`, or else to the socket itself, when its
+    /// datagrams can be told from packets of the format. `control` is an object of the control thread, which must have
+    /// an event loop; it and the other references must outlive the forwarder.
     packet_forwarder(std::string name, std::unique_ptr<transport::datagram_socket> socket,
+        std::optional<core::endpoint> notices, std::shared_ptr<const packet_format> format,
         std::unique_ptr<routing::router> router, const core::snapshot_publisher<forwarding_snapshot>& tables,
         observability::counter_registry& counters, QObject& control, newer_version_callback on_newer_version);
 
@@ -75,11 +79,14 @@
     void read(std::size_t i, core::time_point now);
     void read_packet(std::size_t i, std::string_view packet);
     void send_on(std::size_t i, const routing::route& route);
+    void answer_unrouted(std::size_t i, const routing::packet_facts& facts, core::time_point now);
     void take_notice(std::string_view message, const core::endpoint& agent, core::time_point now);
 
     std::string name_;
     std::unique_ptr<transport::datagram_socket> socket_;
     core::endpoint local_;
+    std::optional<core::endpoint> notices_endpoint_;
+    std::shared_ptr<const packet_format> format_;
     std::unique_ptr<routing::router> router_;
     const core::snapshot_publisher<forwarding_snapshot>& tables_;
     QObject& control_;
@@ -89,6 +96,7 @@
     observability::counter& forwarded_bytes_;
     observability::counter& without_table_;
     observability::counter& without_service_;
+    observability::counter& rejected_;
     observability::counter& malformed_;
     observability::counter& fragments_;
     observability::counter& unsupported_;
@@ -105,6 +113,9 @@
     std::vector<std::optional<routing::route>> routes_;
     std::vector<transport::outgoing_datagram> outgoing_;
     core::time_point last_notice_{};
+    routing::rate_limiter answers_;
+    /// Bytes of datagrams that are not in the batch, until they are sent.
+    std::vector<std::unique_ptr<const std::string>> made_;
 
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -1,7 +1,6 @@
 #include "ibisdyke/frontends/packet_receiver.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/packet_parser.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -29,13 +28,16 @@
 
 struct packet_receiver::packet_counters {
     explicit packet_counters(observability::counter_registry& from)
-        : delivered(from.find("agent_packets_delivered"))
+        : answers(from.find("agent_upstream_answers"))
+        , disowned(from.find("agent_upstream_disowned"))
+        , delivered(from.find("agent_packets_delivered"))
         , placed(from.find("agent_flows_placed"))
         , adopted(from.find("agent_flows_adopted"))
         , forwarded(from.find("agent_packets_forwarded"))
         , rejected_domain_out(from.find("agent_rejected_domain_out"))
         , rejected_unknown_flow(from.find("agent_rejected_unknown_flow"))
         , dropped_unknown_flow(from.find("agent_dropped_unknown_flow"))
+        , rejected_withdrawn(from.find("agent_rejected_withdrawn"))
         , rejected_no_capacity(from.find("agent_rejected_no_capacity"))
         , rejected_table_full(from.find("agent_rejected_table_full"))
         , dropped_answer_limit(from.find("agent_dropped_answer_limit"))
@@ -48,6 +50,8 @@
     {
     }
 
+    observability::counter& answers;
+    observability::counter& disowned;
     observability::counter& delivered;
     observability::counter& placed;
     observability::counter& adopted;
@@ -55,6 +59,7 @@
     observability::counter& rejected_domain_out;
     observability::counter& rejected_unknown_flow;
     observability::counter& dropped_unknown_flow;
+    observability::counter& rejected_withdrawn;
     observability::counter& rejected_no_capacity;
     observability::counter& rejected_table_full;
     observability::counter& dropped_answer_limit;
@@ -66,12 +71,13 @@
     observability::counter& notices;
 };
 
-packet_receiver::packet_receiver(const packet_receiver_settings& settings,
-    std::unique_ptr<transport::datagram_socket> socket, const core::snapshot_publisher<routing::agent_facts>& facts,
-    observability::counter_registry& counters, QObject& control, newer_version_callback on_newer_version)
+packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets from, formats packets,
+    const core::snapshot_publisher<routing::agent_facts>& facts, observability::counter_registry& counters,
+    QObject& control, newer_version_callback on_newer_version)
     : settings_(settings)
-    , socket_(std::move(socket))
-    , local_(socket_->local())
+    , sockets_(std::move(from))
+    , formats_(std::move(packets))
+    , local_(sockets_.peers->local())
     , published_facts_(facts)
     , control_(control)
     , on_newer_version_(std::move(on_newer_version))
@@ -80,6 +86,8 @@
     , batch_(batch_size)
 {
     outgoing_.reserve(batch_size);
+    if (sockets_.upstream)
+        sockets_.peers->also_wait_for(*sockets_.upstream);
 }
 
 packet_receiver::~packet_receiver()
@@ -97,7 +105,7 @@
     if (!thread_.joinable())
         return;
     stopping_.store(true);
-    socket_->wake();
+    sockets_.peers->wake();
     thread_.join();
 }
 
@@ -123,14 +131,35 @@
 void packet_receiver::run()
 {
     while (!stopping_.load()) {
-        socket_->wait(maintenance_interval);
+        sockets_.peers->wait(maintenance_interval);
         maintain(transport::read_clock());
-        while (!stopping_.load() && socket_->receive(batch_) > 0) {
-            const core::time_point now = transport::read_clock();
-            facts_ = published_facts_.load();
-            handle_batch(now);
-            maintain(now);
-        }
+        read_peers();
+        if (sockets_.upstream)
+            read_upstream();
+    }
+}
+
+void packet_receiver::read_peers()
+{
+    while (!stopping_.load() && sockets_.peers->receive(batch_) > 0) {
+        const core::time_point now = transport::read_clock();
+        facts_ = published_facts_.load();
+        handle_batch(now);
+        maintain(now);
+    }
+}
+
+void packet_receiver::read_upstream()
+{
+    while (!stopping_.load() && sockets_.upstream->receive(batch_) > 0) {
+        const core::time_point now = transport::read_clock();
+        facts_ = published_facts_.load();
+        outgoing_.clear();
+        made_.clear();
+        for (std::size_t i = 0; i < batch_.size(); ++i)
+            handle_from_upstream(i, now);
+        send_all();
+        maintain(now);
     }
 }
 
@@ -140,29 +169,70 @@
     made_.clear();
     for (std::size_t i = 0; i < batch_.size(); ++i)
         handle(i, now);
-    const auto refused = socket_->send(outgoing_);
+    send_all();
+}
+
+void packet_receiver::send_all()
+{
+    const auto refused = sockets_.peers->send(outgoing_);
     if (refused > 0)
         counters_->send_failures.add(refused);
 }
 
+std::string_view packet_receiver::keep(std::string bytes)
+{
+    made_.push_back(std::make_unique<const std::string>(std::move(bytes)));
+    return *made_.back();
+}
+
+void packet_receiver::handle_from_upstream(std::size_t i, core::time_point now)
+{
+    const auto packet = batch_.bytes(i);
+    switch (formats_.upstream->classify(packet)) {
+    case upstream_packet::answer:
+        counters_->answers.add(1);
+        outgoing_.push_back({packet, formats_.callers->caller_endpoint(packet)});
+        return;
+    case upstream_packet::disowned:
+        return handle_disowned(packet, now);
+    case upstream_packet::malformed:
+        return counters_->malformed.add(1);
+    }
+}
+
+void packet_receiver::handle_disowned(std::string_view packet, core::time_point now)
+{
+    counters_->disowned.add(1);
+    const auto tag = formats_.upstream->tag_of(packet);
+    // Other agents get the packet as its caller sent it.
+    const auto original = keep(formats_.upstream->with_tag(packet, 0));
+    const auto parsed = formats_.callers->parse(original);
+    if (!facts_ || parsed.status != parse_status::parsed)
+        return counters_->not_ready.add(1);
+    const auto* const known = delivered_.find(tag);
+    const auto header = known != nullptr ? *known : routing::flow_agent::make_header(parsed.facts, *facts_);
+    if (!header)
+        return counters_->not_ready.add(1);
+    carry_out(agent_.decide_disowned(parsed.facts, *header, *facts_, now), *header, original);
+}
+
 void packet_receiver::handle(std::size_t i, core::time_point now)
 {
     try {
         const auto parts = routing::wire::split_datagram(batch_.bytes(i));
         if (parts.kind != routing::wire::datagram_kind::packet)
             return counters_->malformed.add(1);
-        handle_packet(i, parts.message, parts.packet, now);
+        handle_packet(parts.message, parts.packet, now);
     } catch (const core::malformed_message&) {
         counters_->malformed.add(1);
     }
 }
 
-void packet_receiver::handle_packet(
-    std::size_t i, std::string_view message, std::string_view packet, core::time_point now)
+void packet_receiver::handle_packet(std::string_view message, std::string_view packet, core::time_point now)
 {
     if (!facts_)
         return counters_->not_ready.add(1);
-    const auto parsed = parse_packet(packet);
+    const auto parsed = formats_.callers->parse(packet);
     if (parsed.status != parse_status::parsed)
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
@@ -170,10 +240,11 @@
     const auto decision = agent_.decide(parsed.facts, header, *facts_, now);
     if (decision.action == routing::packet_action::place)
         ++usage_.flows;
-    carry_out(decision, i, packet);
+    carry_out(decision, header, packet);
 }
 
-void packet_receiver::carry_out(const routing::packet_decision& decision, std::size_t i, std::string_view packet)
+void packet_receiver::carry_out(
+    const routing::packet_decision& decision, const routing::packet_header& header, std::string_view packet)
 {
     using routing::packet_action;
     switch (decision.action) {
@@ -186,10 +257,10 @@
     case packet_action::deliver:
         break;
     case packet_action::forward: {
-        const auto& header = *decision.next;
-        const auto prefix = routing::wire::encode_prefix(header);
-        const auto skip = batch_.bytes(i).size() - packet.size();
-        outgoing_.push_back({batch_.prepend(i, skip, {prefix}), header.chain[header.position].packet_endpoint});
+        const auto& next = *decision.next;
+        auto bytes = routing::wire::encode_prefix(next);
+        bytes.append(packet);
+        outgoing_.push_back({keep(std::move(bytes)), next.chain[next.position].packet_endpoint});
         counters_->forwarded.add(1);
         return;
     }
@@ -198,9 +269,16 @@
     case packet_action::drop:
         return count_drop(decision.reason);
     }
+    deliver(packet, header);
+}
+
+void packet_receiver::deliver(std::string_view packet, const routing::packet_header& header)
+{
     counters_->delivered.add(1);
     ++usage_.packets;
     usage_.bytes += packet.size();
+    if (formats_.upstream)
+        packet = keep(formats_.upstream->with_tag(packet, delivered_.add(header)));
     outgoing_.push_back({packet, settings_.upstream});
 }
 
@@ -224,6 +302,9 @@
     case routing::packet_reason::domain_out:
         counters_->rejected_domain_out.add(1);
         break;
+    case routing::packet_reason::withdrawn:
+        counters_->rejected_withdrawn.add(1);
+        break;
     case routing::packet_reason::no_capacity:
         counters_->rejected_no_capacity.add(1);
         break;
@@ -234,11 +315,11 @@
         counters_->rejected_unknown_flow.add(1);
         break;
     }
-    auto answer = make_reject(packet);
+    auto answer = formats_.callers->make_reject(packet);
     if (!answer)
         return;
-    made_.push_back(std::make_unique<const std::string>(*std::move(answer)));
-    outgoing_.push_back({*made_.back(), settings_.caller_return});
+    const auto kept = keep(*std::move(answer));
+    outgoing_.push_back({kept, formats_.callers->caller_endpoint(kept)});
 }
 
 void packet_receiver::compare_versions(const routing::packet_header& header, core::time_point now)
@@ -258,8 +339,7 @@
     if (!is_new && now - it->second < notice_interval)
         return;
     it->second = now;
-    made_.push_back(std::make_unique<const std::string>(routing::wire::encode_notice_datagram({facts_->applied})));
-    outgoing_.push_back({*made_.back(), header.sender});
+    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied})), header.sender});
     counters_->notices.add(1);
 }
 
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -4,6 +4,8 @@
 #include "ibisdyke/core/snapshot_publisher.h"
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/core/version.h"
+#include "ibisdyke/frontends/disowned_packets.h"
+#include "ibisdyke/frontends/packet_format.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/routing/agent_facts.h"
@@ -28,10 +30,8 @@
 
 /// Settings of an agent's packet thread.
 struct packet_receiver_settings {
-    /// Where the upstream takes IP packets, each in a UDP datagram.
+    /// Where the upstream takes packets, each in a UDP datagram.
     core::endpoint upstream;
-    /// Where IP packets towards callers go, each in a UDP datagram.
-    core::endpoint caller_return;
     routing::flow_limits limits;
     /// Searches per second that go on to members outside the balancer's chain.
     double extensions_per_second = 100;
@@ -57,8 +57,10 @@
 ///
 ///     core::snapshot_publisher<routing::agent_facts> facts;
 ///     auto socket = transport::udp_socket::create(packet_endpoint, transport::address_sharing::exclusive);
-///     frontends::packet_receiver receiver(settings, std::move(socket), facts, counters, *control_context,
-///         [&](const core::version& latest, const core::endpoint& balancer) { subscription.refresh_to(latest); });
+///     const auto format = std::make_shared<const frontends::ip_packet_format>(caller_return);
+///     frontends::packet_receiver receiver(settings, {std::move(socket), nullptr}, {format, nullptr}, facts, counters,
+///         *control_context, [&](const core::version& latest, const core::endpoint& balancer) {
+///         subscription.refresh_to(latest); });
 ///     receiver.start();
 ///     // On each new system state, heartbeat answer or change of admission, on the control thread:
 ///     facts.publish(std::make_shared<const routing::agent_facts>(routing::agent_facts{self, service, state.applied,
@@ -70,9 +72,24 @@
     /// Called on the control thread when a balancer has a newer version than this agent.
     using newer_version_callback = std::function<void(const core::version& latest, const core::endpoint& balancer)>;
 
+    /// Where packets arrive.
+    struct sockets {
+        /// From balancers and other agents.
+        std::unique_ptr<transport::datagram_socket> peers;
+        /// From the upstream; null where its answers do not pass the agent.
+        std::unique_ptr<transport::datagram_socket> upstream;
+    };
+
+    /// The formats of the packets within datagrams.
+    struct formats {
+        std::shared_ptr<const packet_format> callers;
+        /// Null where the upstream's answers do not pass the agent.
+        std::shared_ptr<const upstream_packet_format> upstream;
+    };
+
     /// `control` is an object of the control thread, which must have an event loop; it and the other references must
     /// outlive the receiver.
-    packet_receiver(const packet_receiver_settings& settings, std::unique_ptr<transport::datagram_socket> socket,
+    packet_receiver(const packet_receiver_settings& settings, sockets from, formats packets,
         const core::snapshot_publisher<routing::agent_facts>& facts, observability::counter_registry& counters,
         QObject& control, newer_version_callback on_newer_version);
 
@@ -101,17 +118,26 @@
     struct packet_counters;
 
     void run();
+    void read_peers();
+    void read_upstream();
     void handle_batch(core::time_point now);
+    void handle_from_upstream(std::size_t i, core::time_point now);
+    void handle_disowned(std::string_view packet, core::time_point now);
+    void send_all();
     void handle(std::size_t i, core::time_point now);
-    void handle_packet(std::size_t i, std::string_view message, std::string_view packet, core::time_point now);
-    void carry_out(const routing::packet_decision& decision, std::size_t i, std::string_view packet);
+    void handle_packet(std::string_view message, std::string_view packet, core::time_point now);
+    void carry_out(
+        const routing::packet_decision& decision, const routing::packet_header& header, std::string_view packet);
+    void deliver(std::string_view packet, const routing::packet_header& header);
+    std::string_view keep(std::string bytes);
     void count_drop(routing::packet_reason reason);
     void reject(std::string_view packet, routing::packet_reason reason);
     void compare_versions(const routing::packet_header& header, core::time_point now);
     void maintain(core::time_point now);
 
     packet_receiver_settings settings_;
-    std::unique_ptr<transport::datagram_socket> socket_;
+    sockets sockets_;
+    formats formats_;
     core::endpoint local_;
     const core::snapshot_publisher<routing::agent_facts>& published_facts_;
     QObject& control_;
@@ -122,6 +148,7 @@
     std::shared_ptr<const routing::agent_facts> facts_;
     routing::flow_agent agent_;
     packet_receiver_view usage_;
+    disowned_packets delivered_;
     transport::datagram_batch batch_;
     std::vector<transport::outgoing_datagram> outgoing_;
     /// Bytes of datagrams that are not in the batch, until they are sent.
--- a/libraries/ibisdyke/frontends/process_host.cpp
+++ b/libraries/ibisdyke/frontends/process_host.cpp
@@ -87,6 +87,10 @@
     admin.listen(admin_address_);
     const transport::signal_watcher signals([this, &on_stop] { stop(on_stop); },
         [&admin] { std::cout << QJsonDocument(admin.dump()).toJson(QJsonDocument::Compact).toStdString() << '\n'; },
+        [this] {
+            if (settings_ != nullptr)
+                settings_->check();
+        },
         nullptr);
     observability::write_log(observability::log_level::info, "started; administration on " + to_string(admin_address_));
     QCoreApplication::exec();
@@ -94,6 +98,11 @@
     return result_;
 }
 
+void process_host::watch_settings(const settings::settings_source& source, settings_watcher::change_callback on_change)
+{
+    settings_ = new settings_watcher(source, std::move(on_change), &parent_); // NOLINT
+}
+
 void process_host::fail()
 {
     result_ = exit_code::failure;
--- a/libraries/ibisdyke/frontends/process_host.h
+++ b/libraries/ibisdyke/frontends/process_host.h
@@ -4,6 +4,7 @@
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/frontends/admin_server.h"
 #include "ibisdyke/frontends/daemon.h"
+#include "ibisdyke/frontends/settings_watcher.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/transport/signal_watcher.h"
 #include "ibisdyke/transport/traffic_meter.h"
@@ -48,6 +49,10 @@
     const process_identity& identity() const { return identity_; }
     observability::counter_registry& counters() { return counters_; }
 
+    /// Calls back with the settings when their file has changed, until the process ends. `source` must outlive the
+    /// host.
+    void watch_settings(const settings::settings_source& source, settings_watcher::change_callback on_change);
+
     /// Counts the bytes of connections that carry control messages.
     transport::traffic_meter& control_traffic() { return control_traffic_; }
 
@@ -76,6 +81,7 @@
     observability::counter_registry counters_;
     transport::traffic_meter control_traffic_;
     QObject parent_;
+    settings_watcher* settings_ = nullptr;
     bool stopping_ = false;
     exit_code result_ = exit_code::success;
 };
--- a/libraries/ibisdyke/frontends/record_witnesses.cpp
+++ b/libraries/ibisdyke/frontends/record_witnesses.cpp
@@ -120,7 +120,7 @@
     if (it.state == membership::upstream_state::gone)
         return false;
     const auto domain = state.configuration.domains.find(it.domain);
-    return domain == state.configuration.domains.end() || domain->second.state == configuration::domain_state::in;
+    return domain == state.configuration.domains.end() || domain->second.state != configuration::domain_state::out;
 }
 
 core::wall_time record_witnesses::departure_time(const membership::upstream& it, core::wall_time now) const
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -87,6 +87,11 @@
     return nullptr;
 }
 
+bool replicated_control_group::has_heard_leader(core::milliseconds within) const
+{
+    return node_->has_heard_leader(within, transport::read_clock());
+}
+
 std::optional<core::endpoint> replicated_control_group::leader() const
 {
     const auto id = node_->leader();
@@ -95,6 +100,14 @@
     return it == nullptr ? std::nullopt : std::optional(it->peer_endpoint);
 }
 
+std::map<core::control_id, core::endpoint> replicated_control_group::members() const
+{
+    std::map<core::control_id, core::endpoint> result;
+    for (const auto& it : node_->configuration().members)
+        result.emplace(it.id, it.peer_endpoint);
+    return result;
+}
+
 std::optional<core::endpoint> replicated_control_group::leader_admin() const
 {
     const auto id = node_->leader();
--- a/libraries/ibisdyke/frontends/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/replicated_control_group.h
@@ -53,6 +53,7 @@
 
     bool is_leader() const override;
     std::optional<core::endpoint> leader() const override;
+    std::map<core::control_id, core::endpoint> members() const override;
     void submit(const control_command& command, submit_callback done) override;
     dissemination::system_state_snapshot state() const override { return machine_.state().system; }
     const accounting::usage_state& usage() const override { return machine_.state().usage; }
@@ -62,8 +63,13 @@
     /// committed before the call; with false when this process does not lead.
     void confirm_read(std::function<void(bool)> done);
 
+    const configuration::plan_document& plan_document() const { return machine_.state().plan_document; }
+
     const configuration::change_ledger& ledger() const { return machine_.state().ledger; }
 
+    /// Whether this process leads or has heard from the leader within the time.
+    bool has_heard_leader(core::milliseconds within) const;
+
     const replication::raft_node& node() const { return *node_; }
 
     /// Where the leader serves the administration API, when known.
--- a/libraries/ibisdyke/frontends/routing_input.cpp
+++ b/libraries/ibisdyke/frontends/routing_input.cpp
@@ -40,11 +40,12 @@
 {
     const auto domain = configuration.domains.find(it.domain);
     const bool recorded = domain != configuration.domains.end();
-    const bool in = !recorded || domain->second.state == configuration::domain_state::in;
+    const auto state = recorded ? domain->second.state : configuration::domain_state::in;
+    const bool in = state == configuration::domain_state::in;
     routing::member result;
     result.target = {it.id, it.packet_endpoint, it.request_endpoint, it.agent};
     result.eligible = in && membership::is_eligible(it.state);
-    result.reachable = in && it.state != membership::upstream_state::gone;
+    result.reachable = state != configuration::domain_state::out && it.state != membership::upstream_state::gone;
     result.holds_since = it.flow_watermark;
     result.exact_since = it.exact_since;
     // A domain that never changed has no history and was in service all the time.
@@ -55,6 +56,23 @@
 
 } // namespace
 
+routing::route_set flow_routes(const configuration::configuration_state& configuration)
+{
+    routing::route_set result;
+    for (const auto& [key, it] : configuration.routes) {
+        const routing::public_address address{it.address.address, protocol_of(it.address.protocol)};
+        if (it.withdrawn_at) {
+            result.withdrawn.push_back(address);
+            continue;
+        }
+        routing::flow_route route{address, {}, it.former};
+        for (const auto& target : it.targets)
+            route.targets.push_back({target.service, target.weight});
+        result.routes.push_back(std::move(route));
+    }
+    return result;
+}
+
 std::vector<routing::service_members> routing_input(const dissemination::system_state& state)
 {
     std::map<core::service_id, routing::service_members> services;
--- a/libraries/ibisdyke/frontends/routing_input.h
+++ b/libraries/ibisdyke/frontends/routing_input.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/dissemination/system_state.h"
+#include "ibisdyke/routing/flow_route.h"
 #include "ibisdyke/routing/member.h"
 
 #include <vector>
@@ -13,4 +14,7 @@
 /// flow watermark has passed the versions at which they were candidates.
 std::vector<routing::service_members> routing_input(const dissemination::system_state& state);
 
+/// Returns the routes of the plan in force as routing sees them.
+routing::route_set flow_routes(const configuration::configuration_state& configuration);
+
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/state_subscriber.h
+++ b/libraries/ibisdyke/frontends/state_subscriber.h
@@ -71,6 +71,9 @@
     /// Sets what runs with each keep-alive by which a control process vouches anew for the state.
     void on_keep_alive(std::function<void()> callback) { keep_alive_callback_ = std::move(callback); }
 
+    /// Replaces the control processes. The feed in use goes on.
+    void set_controls(std::vector<core::endpoint> controls) { sources_.set_controls(std::move(controls)); }
+
     void start();
 
     /// Tells that another process has this version, as seen in a packet or an answer. When the feed does not deliver it
--- a/libraries/ibisdyke/frontends/tests/fake_control_group.h
+++ b/libraries/ibisdyke/frontends/tests/fake_control_group.h
@@ -41,6 +41,7 @@
 
     bool is_leader() const override { return leads_; }
     std::optional<core::endpoint> leader() const override { return leader_; }
+    std::map<core::control_id, core::endpoint> members() const override { return {}; }
     dissemination::system_state_snapshot state() const override { return state_; }
 
     const accounting::usage_state& usage() const override { return log_.usage_state; }
--- a/libraries/ibisdyke/frontends/tests/packet_parser_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/ip_packet_format_test.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/packet_parser.h"
+#include "ibisdyke/frontends/ip_packet_format.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -10,13 +10,13 @@
 #include <tins/udp.h>
 
 using namespace ibisdyke;
-using frontends::make_reject;
-using frontends::parse_packet;
 using frontends::parse_status;
 using routing::packet_kind;
 
 namespace {
 
+const frontends::ip_packet_format format({0x7f000001, 7000});
+
 std::string bytes_of(Tins::IP ip)
 {
     const auto bytes = ip.serialize();
@@ -57,12 +57,12 @@
 TEST_CASE("a packet's flow is read from its bytes")
 {
     const auto packet = tcp_packet(Tins::TCP::ACK, "data");
-    const auto it = parse_packet(packet);
+    const auto it = format.parse(packet);
     REQUIRE(it.status == parse_status::parsed);
     const routing::flow_key expected{0x0a090909, 0x0a010101, 50'000, 443, routing::ip_protocol::tcp};
     CHECK(it.facts.flow == expected);
     CHECK(it.facts.size_bytes == packet.size());
-    const auto udp = parse_packet(udp_packet());
+    const auto udp = format.parse(udp_packet());
     REQUIRE(udp.status == parse_status::parsed);
     CHECK(udp.facts.flow.protocol == routing::ip_protocol::udp);
     CHECK(udp.facts.flow.destination_port == 443);
@@ -72,11 +72,11 @@
 // Guards against a segment within a connection that opens a flow, and against flows that never close.
 TEST_CASE("TCP flags tell what a packet does to its flow")
 {
-    CHECK(parse_packet(tcp_packet(Tins::TCP::SYN, "")).facts.kind == packet_kind::syn);
-    CHECK(parse_packet(tcp_packet(Tins::TCP::SYN | Tins::TCP::ACK, "")).facts.kind == packet_kind::segment);
-    CHECK(parse_packet(tcp_packet(Tins::TCP::ACK | Tins::TCP::PSH, "x")).facts.kind == packet_kind::segment);
-    CHECK(parse_packet(tcp_packet(Tins::TCP::FIN | Tins::TCP::ACK, "")).facts.kind == packet_kind::closing);
-    CHECK(parse_packet(tcp_packet(Tins::TCP::RST, "")).facts.kind == packet_kind::closing);
+    CHECK(format.parse(tcp_packet(Tins::TCP::SYN, "")).facts.kind == packet_kind::syn);
+    CHECK(format.parse(tcp_packet(Tins::TCP::SYN | Tins::TCP::ACK, "")).facts.kind == packet_kind::segment);
+    CHECK(format.parse(tcp_packet(Tins::TCP::ACK | Tins::TCP::PSH, "x")).facts.kind == packet_kind::segment);
+    CHECK(format.parse(tcp_packet(Tins::TCP::FIN | Tins::TCP::ACK, "")).facts.kind == packet_kind::closing);
+    CHECK(format.parse(tcp_packet(Tins::TCP::RST, "")).facts.kind == packet_kind::closing);
 }
 
 // Guards against fragments that go to another upstream than the first one, which alone has the ports.
@@ -84,11 +84,11 @@
 {
     auto first = addressed() / Tins::UDP(443, 50'000) / Tins::RawPDU("hello");
     first.flags(Tins::IP::MORE_FRAGMENTS);
-    CHECK(parse_packet(bytes_of(first)).status == parse_status::fragment);
+    CHECK(format.parse(bytes_of(first)).status == parse_status::fragment);
     auto later = addressed() / Tins::RawPDU("more of it");
     later.fragment_offset(100);
-    CHECK(parse_packet(bytes_of(later)).status == parse_status::fragment);
-    CHECK(parse_packet(bytes_of(addressed() / Tins::ICMP())).status == parse_status::unsupported);
+    CHECK(format.parse(bytes_of(later)).status == parse_status::fragment);
+    CHECK(format.parse(bytes_of(addressed() / Tins::ICMP())).status == parse_status::unsupported);
 }
 
 // Guards against reads beyond a packet and exceptions that end the packet thread.
@@ -96,22 +96,22 @@
 {
     const auto whole = tcp_packet(Tins::TCP::SYN, "");
     for (std::size_t n = 0; n < whole.size(); ++n)
-        CHECK(parse_packet(whole.substr(0, n)).status == parse_status::malformed);
+        CHECK(format.parse(whole.substr(0, n)).status == parse_status::malformed);
     std::mt19937 random(1);
     for (int i = 0; i < 50'000; ++i) {
         auto changed = i % 2 == 0 ? whole : udp_packet();
         for (int n = 0; n < 4; ++n)
             changed[random() % changed.size()] = static_cast<char>(random());
         changed.resize(1 + random() % changed.size());
-        CHECK_NOTHROW(parse_packet(changed));
-        CHECK_NOTHROW(make_reject(changed));
+        CHECK_NOTHROW(format.parse(changed));
+        CHECK_NOTHROW(format.make_reject(changed));
     }
 }
 
 // Guards against a reset that the caller's system ignores because its numbers do not fit.
 TEST_CASE("a reset carries the numbers that the caller expects")
 {
-    const auto to_segment = parse(make_reject(tcp_packet(Tins::TCP::ACK, "data")).value());
+    const auto to_segment = parse(format.make_reject(tcp_packet(Tins::TCP::ACK, "data")).value());
     CHECK(to_segment.dst_addr() == Tins::IPv4Address("10.9.9.9"));
     CHECK(to_segment.src_addr() == Tins::IPv4Address("10.1.1.1"));
     const auto& reset = to_segment.rfind_pdu<Tins::TCP>();
@@ -119,26 +119,26 @@
     CHECK(reset.seq() == 2000);
     CHECK(reset.sport() == 443);
     CHECK(reset.dport() == 50'000);
-    const auto to_syn = parse(make_reject(tcp_packet(Tins::TCP::SYN, "")).value());
+    const auto to_syn = parse(format.make_reject(tcp_packet(Tins::TCP::SYN, "")).value());
     const auto& refusal = to_syn.rfind_pdu<Tins::TCP>();
     CHECK(refusal.flags() == (Tins::TCP::RST | Tins::TCP::ACK));
     CHECK(refusal.ack_seq() == 1001);
-    const auto to_fin = parse(make_reject(tcp_packet(Tins::TCP::FIN, "data")).value());
+    const auto to_fin = parse(format.make_reject(tcp_packet(Tins::TCP::FIN, "data")).value());
     CHECK(to_fin.rfind_pdu<Tins::TCP>().ack_seq() == 1005);
 }
 
 // Guards against two systems that answer each other's resets for ever.
 TEST_CASE("a reset is not answered")
 {
-    CHECK_FALSE(make_reject(tcp_packet(Tins::TCP::RST, "")));
-    CHECK_FALSE(make_reject(tcp_packet(Tins::TCP::RST | Tins::TCP::ACK, "")));
-    CHECK_FALSE(make_reject("garbage"));
+    CHECK_FALSE(format.make_reject(tcp_packet(Tins::TCP::RST, "")));
+    CHECK_FALSE(format.make_reject(tcp_packet(Tins::TCP::RST | Tins::TCP::ACK, "")));
+    CHECK_FALSE(format.make_reject("garbage"));
 }
 
 TEST_CASE("a UDP packet is rejected with port unreachable and a quotation")
 {
     const auto packet = udp_packet();
-    const auto answer = parse(make_reject(packet).value());
+    const auto answer = parse(format.make_reject(packet).value());
     CHECK(answer.dst_addr() == Tins::IPv4Address("10.9.9.9"));
     const auto& icmp = answer.rfind_pdu<Tins::ICMP>();
     CHECK(icmp.type() == Tins::ICMP::DEST_UNREACHABLE);
--- a/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
@@ -1,5 +1,5 @@
+#include "ibisdyke/frontends/ip_packet_format.h"
 #include "ibisdyke/frontends/packet_forwarder.h"
-#include "ibisdyke/frontends/packet_parser.h"
 #include "ibisdyke/frontends/packet_receiver.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/routing/unknown_flows.h"
@@ -89,12 +89,13 @@
             it.id = core::make_upstream_id(i + 1, 0);
             frontends::packet_receiver_settings settings;
             settings.upstream = it.upstream->local();
-            settings.caller_return = caller->local();
             settings.limits = limits;
-            it.agent = std::make_unique<frontends::packet_receiver>(settings, open_socket(), it.facts, it.counters,
-                control, [&it](const auto& latest, const auto&) { it.newer_versions.push_back(latest); });
+            it.agent = std::make_unique<frontends::packet_receiver>(settings,
+                frontends::packet_receiver::sockets{open_socket(), nullptr},
+                frontends::packet_receiver::formats{format, nullptr}, it.facts, it.counters, control,
+                [&it](const auto& latest, const auto&) { it.newer_versions.push_back(latest); });
         }
-        forwarder = std::make_unique<frontends::packet_forwarder>("forwarder", open_socket(),
+        forwarder = std::make_unique<frontends::packet_forwarder>("forwarder", open_socket(), std::nullopt, format,
             std::make_unique<routing::chain_router>(), tables, balancer_counters, control,
             [this](const auto& latest, const auto&) { newer_versions.push_back(latest); });
     }
@@ -169,6 +170,8 @@
     int argument_count = 0;
     QCoreApplication application{argument_count, nullptr};
     std::unique_ptr<transport::udp_socket> caller = open_socket();
+    std::shared_ptr<const frontends::packet_format> format =
+        std::make_shared<const frontends::ip_packet_format>(caller->local());
     QObject control;
     std::vector<std::unique_ptr<host>> hosts;
     core::snapshot_publisher<frontends::forwarding_snapshot> tables;
--- a/libraries/ibisdyke/frontends/wire/control_codec.cpp
+++ b/libraries/ibisdyke/frontends/wire/control_codec.cpp
@@ -83,6 +83,7 @@
     out.set_membership(membership::wire::encode(it.system->membership));
     out.set_ledger(configuration::wire::encode(it.ledger));
     out.set_usage(accounting::encode(it.usage));
+    out.set_plan_document(configuration::wire::encode(it.plan_document));
     return out.SerializeAsString();
 }
 
@@ -93,7 +94,8 @@
         configuration::wire::decode_configuration_state(in.configuration()),
         membership::wire::decode_membership_state(in.membership())};
     return {std::make_shared<const dissemination::system_state>(std::move(system)),
-        configuration::wire::decode_change_ledger(in.ledger()), accounting::decode_usage_state(in.usage())};
+        configuration::wire::decode_change_ledger(in.ledger()),
+        configuration::wire::decode_plan_document(in.plan_document()), accounting::decode_usage_state(in.usage())};
 }
 
 } // namespace ibisdyke::frontends::wire
--- a/libraries/ibisdyke/frontends/wire/control_codec.h
+++ b/libraries/ibisdyke/frontends/wire/control_codec.h
@@ -12,6 +12,7 @@
 struct control_state {
     dissemination::system_state_snapshot system = std::make_shared<const dissemination::system_state>();
     configuration::change_ledger ledger;
+    configuration::plan_document plan_document;
     accounting::usage_state usage;
 };
 
--- a/libraries/ibisdyke/membership/lease_table.cpp
+++ b/libraries/ibisdyke/membership/lease_table.cpp
@@ -364,6 +364,7 @@
         propose_expired(now, change);
         propose_removed_relays(now, change);
     }
+    propose_controls(change);
     propose_forgotten(wall_now, change);
     // Watermarks cost no record of their own as long as other changes are written.
     if (!is_empty(change) || watermark_record_is_due(now))
@@ -495,6 +496,21 @@
     }
 }
 
+void lease_table::propose_controls(membership_change& change) const
+{
+    if (controls_.empty())
+        return;
+    for (const auto& [id, endpoint] : controls_) {
+        const auto known = membership_->controls.find(id);
+        if (known == membership_->controls.end() || known->second != endpoint)
+            change.controls.emplace(id, endpoint);
+    }
+    for (const auto& [id, endpoint] : membership_->controls) {
+        if (!controls_.contains(id))
+            change.removed_controls.push_back(id);
+    }
+}
+
 void lease_table::propose_removed_relays(core::time_point now, membership_change& change) const
 {
     for (const auto& [name, endpoint] : membership_->relays) {
--- a/libraries/ibisdyke/membership/lease_table.h
+++ b/libraries/ibisdyke/membership/lease_table.h
@@ -80,6 +80,9 @@
     /// only with a higher sequence number: a list may hold a sender that was replaced up to a lease ago.
     heartbeat_answer on_report(const heartbeat& it, core::time_point heard, core::time_point now);
 
+    /// Takes the members of the control group with their peer endpoints, for the record.
+    void set_controls(std::map<core::control_id, core::endpoint> members) { controls_ = std::move(members); }
+
     /// Notices pauses of this process and refreshes the means of open flows. Called ten times a second, also while a
     /// proposed record is in progress.
     void tick(core::time_point now);
@@ -139,6 +142,7 @@
         std::vector<upstream_update>& watermarks) const;
     void propose_relay(const std::string& name, const lease& it, membership_change& change) const;
     void propose_expired(core::time_point now, membership_change& change) const;
+    void propose_controls(membership_change& change) const;
     void propose_removed_relays(core::time_point now, membership_change& change) const;
     void propose_forgotten(core::wall_time wall_now, membership_change& change) const;
 
@@ -153,6 +157,7 @@
     void compute_means(core::time_point now);
 
     lease_limits limits_;
+    std::map<core::control_id, core::endpoint> controls_;
     core::time_point grace_end_;
     core::time_point last_tick_;
     std::shared_ptr<const configuration::configuration_state> configuration_;
--- a/libraries/ibisdyke/membership/membership_change.cpp
+++ b/libraries/ibisdyke/membership/membership_change.cpp
@@ -108,6 +108,10 @@
         after.relays.erase(it);
     for (const auto& [name, endpoint] : change.relays)
         after.relays.insert_or_assign(name, endpoint);
+    for (const auto& it : change.removed_controls)
+        after.controls.erase(it);
+    for (const auto& [id, endpoint] : change.controls)
+        after.controls.insert_or_assign(id, endpoint);
     return after;
 }
 
--- a/libraries/ibisdyke/membership/membership_change.h
+++ b/libraries/ibisdyke/membership/membership_change.h
@@ -44,6 +44,8 @@
     std::vector<core::upstream_id> forgotten;
     std::map<std::string, core::endpoint> relays;
     std::vector<std::string> removed_relays;
+    std::map<core::control_id, core::endpoint> controls;
+    std::vector<core::control_id> removed_controls;
 
     friend bool operator==(const membership_change&, const membership_change&) = default;
 };
--- a/libraries/ibisdyke/membership/membership_state.h
+++ b/libraries/ibisdyke/membership/membership_state.h
@@ -12,6 +12,8 @@
     std::map<core::upstream_id, upstream> upstreams;
     /// Peer endpoints of balancers that serve subscriptions, by process name.
     std::map<std::string, core::endpoint> relays;
+    /// Peer endpoints of the members of the control group.
+    std::map<core::control_id, core::endpoint> controls;
 
     friend bool operator==(const membership_state&, const membership_state&) = default;
 };
--- /dev/null
+++ b/libraries/ibisdyke/membership/tests/upstream_presence_test.cpp
@@ -0,0 +1,118 @@
+#include "ibisdyke/membership/upstream_presence.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisdyke;
+using namespace std::chrono_literals;
+using membership::announcement;
+using membership::presence;
+
+namespace {
+
+const core::endpoint address{0x0a00'0001, 8080};
+const core::time_point start{1h};
+
+announcement announced(const std::string& id, std::uint64_t born_ms, std::uint64_t sequence)
+{
+    announcement result;
+    result.id = id;
+    result.born_ms = born_ms;
+    result.sequence = sequence;
+    result.service = "desk";
+    result.address = address;
+    return result;
+}
+
+membership::upstream_presence make_presence()
+{
+    return {"desk", address, 1s};
+}
+
+} // namespace
+
+// Guards against new flows at an upstream that has said that it drains, or that has fallen silent.
+TEST_CASE("an upstream is ready, drains, leaves and falls silent as it says")
+{
+    auto it = make_presence();
+    CHECK(it.state(start) == presence::absent);
+    CHECK(it.take(announced("a", 5, 1), start));
+    CHECK(it.state(start) == presence::ready);
+    CHECK(it.state(start + 3s) == presence::ready);
+    CHECK(it.state(start + 3001ms) == presence::absent);
+    auto draining = announced("a", 5, 2);
+    draining.draining = true;
+    CHECK(it.take(draining, start + 4s));
+    CHECK(it.state(start + 4s) == presence::draining);
+    it.leave("other");
+    CHECK(it.state(start + 4s) == presence::draining);
+    it.leave("a");
+    CHECK(it.state(start + 4s) == presence::left);
+}
+
+// Guards against a late announcement that makes a draining upstream take new flows again.
+TEST_CASE("a late announcement of the same run changes nothing")
+{
+    auto it = make_presence();
+    auto draining = announced("a", 5, 7);
+    draining.draining = true;
+    CHECK(it.take(draining, start));
+    CHECK_FALSE(it.take(announced("a", 5, 6), start + 1s));
+    CHECK_FALSE(it.take(announced("a", 5, 7), start + 1s));
+    CHECK(it.state(start + 1s) == presence::draining);
+}
+
+// Guards against a delayed announcement of a dead run that is taken for the present one.
+TEST_CASE("an announcement of an earlier run is late, whatever its number")
+{
+    auto it = make_presence();
+    CHECK(it.take(announced("a", 5, 70), start));
+    CHECK(it.take(announced("b", 9, 1), start + 1s));
+    CHECK(it.run() == 2);
+    CHECK_FALSE(it.take(announced("a", 5, 71), start + 1100ms));
+    CHECK_FALSE(it.take(announced("c", 7, 1), start + 1200ms));
+    CHECK(it.latest()->id == "b");
+    CHECK_FALSE(it.take(announced("a", 5, 72), start + 1h));
+}
+
+TEST_CASE("an upstream that starts again under its id is another run")
+{
+    auto it = make_presence();
+    CHECK(it.take(announced("a", 5, 70), start));
+    it.leave("a");
+    CHECK(it.take(announced("a", 9, 1), start + 1s));
+    CHECK(it.run() == 2);
+    CHECK(it.state(start + 1s) == presence::ready);
+}
+
+// Guards against an upstream that is never heard again because its clock was set back between two runs.
+TEST_CASE("a run that was born earlier follows one that is silent")
+{
+    auto it = make_presence();
+    CHECK(it.take(announced("a", 9, 3), start));
+    CHECK_FALSE(it.take(announced("b", 5, 1), start + 1s));
+    CHECK(it.take(announced("b", 5, 2), start + 2s));
+    CHECK(it.latest()->id == "b");
+}
+
+TEST_CASE("announcements of another service or address are not this upstream's")
+{
+    auto it = make_presence();
+    auto other = announced("a", 5, 1);
+    other.service = "store";
+    CHECK_FALSE(it.take(other, start));
+    other = announced("a", 5, 1);
+    other.address.port = 1;
+    CHECK_FALSE(it.take(other, start));
+    CHECK(it.state(start) == presence::absent);
+}
+
+TEST_CASE("the cold start ends when the upstream says")
+{
+    auto it = make_presence();
+    auto cold = announced("a", 5, 1);
+    cold.cold_for = 1500ms;
+    CHECK(it.take(cold, start));
+    CHECK(it.cold_until() == start + 1500ms);
+    CHECK(it.take(announced("a", 5, 2), start + 1s));
+    CHECK(it.cold_until() == start + 1s);
+}
--- a/libraries/ibisdyke/membership/wire/codec.cpp
+++ b/libraries/ibisdyke/membership/wire/codec.cpp
@@ -68,6 +68,22 @@
     return result;
 }
 
+template <typename Message>
+void controls_to_wire(const std::map<core::control_id, core::endpoint>& controls, Message& message)
+{
+    for (const auto& [id, endpoint] : controls)
+        to_wire(endpoint, (*message.mutable_controls())[id.value()]);
+}
+
+template <typename Message>
+std::map<core::control_id, core::endpoint> controls_from_wire(const Message& message)
+{
+    std::map<core::control_id, core::endpoint> result;
+    for (const auto& [id, endpoint] : message.controls())
+        result.emplace(core::control_id(id), from_wire(endpoint));
+    return result;
+}
+
 void join_to_wire(const join& value, Join& message)
 {
     message.set_service(value.service.value());
@@ -186,6 +202,7 @@
     for (const auto& [id, it] : value.upstreams)
         to_wire(it, *message.add_upstreams());
     relays_to_wire(value.relays, message);
+    controls_to_wire(value.controls, message);
 }
 
 membership_state from_wire(const MembershipState& message)
@@ -197,6 +214,7 @@
         result.upstreams.insert_or_assign(result.upstreams.end(), id, std::move(value));
     }
     result.relays = relays_from_wire(message);
+    result.controls = controls_from_wire(message);
     return result;
 }
 
@@ -361,6 +379,9 @@
     relays_to_wire(value.relays, message);
     for (const auto& it : value.removed_relays)
         message.add_removed_relays(it);
+    controls_to_wire(value.controls, message);
+    for (const auto& it : value.removed_controls)
+        message.add_removed_controls(it.value());
     return message.SerializeAsString();
 }
 
@@ -376,6 +397,9 @@
         result.forgotten.emplace_back(it);
     result.relays = relays_from_wire(message);
     result.removed_relays.assign(message.removed_relays().begin(), message.removed_relays().end());
+    result.controls = controls_from_wire(message);
+    for (const auto it : message.removed_controls())
+        result.removed_controls.emplace_back(it);
     return result;
 }
 
--- /dev/null
+++ b/libraries/ibisdyke/replication/group_keeper.cpp
@@ -0,0 +1,36 @@
+#include "ibisdyke/replication/group_keeper.h"
+
+#include <algorithm>
+
+namespace ibisdyke::replication {
+
+bool may_join(const std::vector<member_view>& members, const member& joining, const group_limits& limits)
+{
+    const bool is_known = std::any_of(
+        members.begin(), members.end(), [&joining](const auto& it) { return it.recorded.id == joining.id; });
+    return !is_known && members.size() < limits.max_members;
+}
+
+std::optional<core::control_id> member_to_remove(const std::vector<member_view>& members, const group_limits& limits)
+{
+    const auto is_silent_voter = [&limits](const auto& it) {
+        return it.recorded.role == member_role::voter && it.silence >= limits.voter_silence;
+    };
+    const auto is_live_voter = [&limits](const auto& it) {
+        return it.recorded.role == member_role::voter && it.silence < limits.voter_silence;
+    };
+    const auto live = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), is_live_voter));
+    if (live >= limits.min_voters) {
+        const auto it = std::find_if(members.begin(), members.end(), is_silent_voter);
+        if (it != members.end())
+            return it->recorded.id;
+    }
+    const auto it = std::find_if(members.begin(), members.end(), [&limits](const auto& candidate) {
+        return candidate.recorded.role == member_role::non_voter && candidate.silence >= limits.non_voter_silence;
+    });
+    if (it != members.end())
+        return it->recorded.id;
+    return std::nullopt;
+}
+
+} // namespace ibisdyke::replication
--- /dev/null
+++ b/libraries/ibisdyke/replication/group_keeper.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "ibisdyke/core/time.h"
+#include "ibisdyke/replication/messages.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace ibisdyke::replication {
+
+/// The times and sizes by which a leader keeps its group.
+struct group_limits {
+    /// A voter that was silent for this long is removed when enough others are left. Longer than an election.
+    core::milliseconds voter_silence{1'500};
+    /// The same for a member that does not vote: it takes no part in any majority, so there is no hurry.
+    core::milliseconds non_voter_silence{10'000};
+    /// No voter is removed when fewer than this many would be left: three bear the loss of one.
+    std::size_t min_voters = 3;
+    std::size_t max_members = 9;
+
+    friend bool operator==(const group_limits&, const group_limits&) = default;
+};
+
+/// A member as the leader sees it.
+struct member_view {
+    member recorded;
+    /// How long ago the member answered last; 0 for the leader itself.
+    core::milliseconds silence{0};
+
+    friend bool operator==(const member_view&, const member_view&) = default;
+};
+
+/// Returns whether a process that asks to join is to be added.
+bool may_join(const std::vector<member_view>& members, const member& joining, const group_limits& limits);
+
+/// Returns the member to remove now, if any. A process that was removed and is alive asks to join again, so that a
+/// removal in error costs no more than its own repair. Without removals, a group whose lost members were replaced would
+/// need majorities of all that it ever had.
+std::optional<core::control_id> member_to_remove(const std::vector<member_view>& members, const group_limits& limits);
+
+} // namespace ibisdyke::replication
--- a/libraries/ibisdyke/replication/messages.h
+++ b/libraries/ibisdyke/replication/messages.h
@@ -164,6 +164,14 @@
 using message_body = std::variant<vote_request, vote_answer, append_request, append_answer, snapshot_request,
     snapshot_answer, timeout_now>;
 
+/// Answers a process that asks to join the group.
+struct join_answer {
+    /// The peer endpoint of the leader, when it is known.
+    std::optional<core::endpoint> leader;
+
+    friend bool operator==(const join_answer&, const join_answer&) = default;
+};
+
 struct message {
     core::control_id from;
     core::control_id to;
--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -167,6 +167,21 @@
     return result;
 }
 
+core::milliseconds raft_node::silence_of(core::control_id id, core::time_point now) const
+{
+    if (id == options_.self)
+        return core::milliseconds{0};
+    const auto found = progress_.find(id);
+    if (found == progress_.end())
+        return core::milliseconds::max();
+    return std::chrono::duration_cast<core::milliseconds>(now - found->second.heard);
+}
+
+bool raft_node::has_heard_leader(core::milliseconds within, core::time_point now) const
+{
+    return leads(now) || (has_heard_leader_ && now - leader_heard_ < within);
+}
+
 std::uint64_t raft_node::match_of(core::control_id id) const
 {
     if (id == options_.self)
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -96,6 +96,13 @@
     /// Whether the leader has committed an entry of its own term, so that its state holds every committed entry.
     bool is_current() const { return log_.term_at(committed_) == ballot_.term; }
 
+    /// How long ago the leader heard from a member; 0 for the leader itself, and the largest time for a process that is
+    /// no member.
+    core::milliseconds silence_of(core::control_id id, core::time_point now) const;
+
+    /// Whether this member leads or has heard from a leader within the time.
+    bool has_heard_leader(core::milliseconds within, core::time_point now) const;
+
     raft_role role() const { return role_; }
     std::optional<core::control_id> leader() const { return leader_; }
     std::uint64_t term() const { return ballot_.term; }
--- a/libraries/ibisdyke/replication/wire/codec.cpp
+++ b/libraries/ibisdyke/replication/wire/codec.cpp
@@ -14,26 +14,33 @@
 using core::wire::to_enum;
 using core::wire::to_wire;
 
+void fill(Member& out, const member& it)
+{
+    out.set_id(it.id.value());
+    out.set_disk(it.disk.value());
+    out.set_voter(it.role == member_role::voter);
+    to_wire(it.peer_endpoint, *out.mutable_peer_endpoint());
+    to_wire(it.admin_endpoint, *out.mutable_admin_endpoint());
+}
+
+member read(const Member& in)
+{
+    return {core::control_id(in.id()), core::incarnation(in.disk()),
+        in.voter() ? member_role::voter : member_role::non_voter, from_wire(in.peer_endpoint()),
+        from_wire(in.admin_endpoint())};
+}
+
 void fill(GroupConfiguration& out, const group_configuration& group)
 {
-    for (const auto& it : group.members) {
-        auto& m = *out.add_members();
-        m.set_id(it.id.value());
-        m.set_disk(it.disk.value());
-        m.set_voter(it.role == member_role::voter);
-        to_wire(it.peer_endpoint, *m.mutable_peer_endpoint());
-        to_wire(it.admin_endpoint, *m.mutable_admin_endpoint());
-    }
+    for (const auto& it : group.members)
+        fill(*out.add_members(), it);
 }
 
 group_configuration read(const GroupConfiguration& in)
 {
     group_configuration result;
-    for (const auto& it : in.members()) {
-        result.members.push_back({core::control_id(it.id()), core::incarnation(it.disk()),
-            it.voter() ? member_role::voter : member_role::non_voter, from_wire(it.peer_endpoint()),
-            from_wire(it.admin_endpoint())});
-    }
+    for (const auto& it : in.members())
+        result.members.push_back(read(it));
     return result;
 }
 
@@ -178,6 +185,32 @@
         from_wire(in.admin_endpoint()), read_body(in)};
 }
 
+std::string encode(const member& it)
+{
+    Member out;
+    fill(out, it);
+    return out.SerializeAsString();
+}
+
+member decode_member(std::string_view bytes)
+{
+    return read(parse<Member>(bytes));
+}
+
+std::string encode(const join_answer& it)
+{
+    JoinAnswer out;
+    if (it.leader)
+        to_wire(*it.leader, *out.mutable_leader());
+    return out.SerializeAsString();
+}
+
+join_answer decode_join_answer(std::string_view bytes)
+{
+    const auto in = parse<JoinAnswer>(bytes);
+    return {in.has_leader() ? std::optional(from_wire(in.leader())) : std::nullopt};
+}
+
 std::string encode(const snapshot& it)
 {
     Snapshot out;
--- a/libraries/ibisdyke/replication/wire/codec.h
+++ b/libraries/ibisdyke/replication/wire/codec.h
@@ -10,6 +10,12 @@
 std::string encode(const message& it);
 message decode_message(std::string_view bytes);
 
+std::string encode(const member& it);
+member decode_member(std::string_view bytes);
+
+std::string encode(const join_answer& it);
+join_answer decode_join_answer(std::string_view bytes);
+
 std::string encode(const snapshot& it);
 snapshot decode_snapshot(std::string_view bytes);
 
--- a/libraries/ibisdyke/routing/agent_facts.h
+++ b/libraries/ibisdyke/routing/agent_facts.h
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/core/version.h"
+#include "ibisdyke/routing/routing_table.h"
 #include "ibisdyke/routing/service_chains.h"
 
 #include <cstddef>
@@ -35,10 +36,15 @@
     core::version applied;
     /// The members of the agent's service; null before the first table.
     std::shared_ptr<const service_chains> members;
+    /// All services and routes; null when flows are known by the addresses of the agent's service alone.
+    std::shared_ptr<const routing_table> table;
     /// Whether operators have taken the agent's failure domain out of service.
     bool domain_out = false;
     /// The agent has lost its flow table in a restart and adopts flows until then.
     core::time_point recovers_until{};
+    /// The upstream returns packets of flows that it does not hold. An agent that has lost its flow table then asks
+    /// the upstream instead of guessing which flows are its own.
+    bool upstream_disowns = false;
     flow_admission admission;
 
     friend bool operator==(const agent_facts&, const agent_facts&) = default;
--- a/libraries/ibisdyke/routing/chain_router.cpp
+++ b/libraries/ibisdyke/routing/chain_router.cpp
@@ -9,6 +9,13 @@
     table_ = std::move(table);
 }
 
+bool chain_router::may_place(const packet_facts& syn, const chain& members, core::time_point::duration age)
+{
+    if (syn.is_first)
+        return true;
+    return members.candidates == members.members.size() && age >= settled_after;
+}
+
 std::optional<route> chain_router::select(const packet_facts& packet, core::time_point now)
 {
     if (!table_)
@@ -25,8 +32,7 @@
         return std::nullopt;
     const auto& chain = service_chains.chains()[index];
     route result{service, *destination, &chain, index, search_phase::find};
-    if (packet.kind == packet_kind::syn && chain.candidates == chain.members.size()
-        && now - table_->ages->since(service, bucket) >= settled_after)
+    if (packet.kind == packet_kind::syn && may_place(packet, chain, now - table_->ages->since(service, bucket)))
         result.phase = search_phase::place;
     return result;
 }
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -25,6 +25,46 @@
     return {packet_action::forward, packet_reason::none, std::move(header)};
 }
 
+bool names_service(const flow_route& route, const core::service_id& service)
+{
+    const auto is_target = [&service](const auto& it) { return it.service == service; };
+    return std::any_of(route.targets.begin(), route.targets.end(), is_target)
+        || std::find(route.former.begin(), route.former.end(), service) != route.former.end();
+}
+
+/// Whether new flows of the route may begin at the service.
+bool takes_new_flows(const flow_route& route, const core::service_id& service)
+{
+    return std::any_of(route.targets.begin(), route.targets.end(),
+        [&service](const auto& it) { return it.service == service && it.weight > 0; });
+}
+
+/// Returns the services that may hold flows of the route, those that take new ones first.
+std::vector<core::service_id> services_of(const flow_route& route)
+{
+    std::vector<core::service_id> result;
+    for (const auto& it : route.targets)
+        result.push_back(it.service);
+    result.insert(result.end(), route.former.begin(), route.former.end());
+    return result;
+}
+
+/// Begins the header's search anew with another chain.
+void use_chain(packet_header& header, const core::service_id& service, const chain& members)
+{
+    header.service = service;
+    header.chain.clear();
+    for (const auto& it : members.members)
+        header.chain.push_back({it.id, it.packet_endpoint});
+    header.candidates = static_cast<std::uint32_t>(members.candidates);
+    header.position = 0;
+    header.phase = search_phase::find;
+    header.asked = 0;
+    header.restarted.reset();
+    header.recovery_left_ms = 0;
+    header.fallback.reset();
+}
+
 bool names(const packet_header& header, const agent_facts& facts)
 {
     return header.service == facts.service && header.position < header.chain.size()
@@ -33,10 +73,21 @@
 
 /// Whether the packet is addressed to the agent's service. The header alone does not tell: a balancer that takes an
 /// address for another service's names that service's upstreams rightly.
-bool is_for_service(const flow_key& flow, const agent_facts& facts)
+bool is_for_service(const packet_facts& packet, const packet_header& header, const agent_facts& facts)
 {
     if (!facts.members)
         return false;
+    if (facts.table) {
+        // A balancer with a newer table may know a route that this agent has not heard of.
+        if (header.table > facts.applied)
+            return true;
+        const auto* const route = facts.table->destinations().find(packet.flow);
+        if (route == nullptr)
+            return false;
+        return may_start_flow(packet.kind) ? takes_new_flows(*route, facts.service)
+                                           : names_service(*route, facts.service);
+    }
+    const auto& flow = packet.flow;
     const public_address wanted{{flow.destination_address, flow.destination_port}, flow.protocol};
     const auto& addresses = facts.members->service().addresses;
     return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
@@ -104,7 +155,7 @@
 /// that restarted earlier has adopted its flows by now, so an unknown flow is likely the later one's.
 void offer_adoption(packet_header& header, const agent_facts& facts, core::time_point now)
 {
-    if (!is_recovering(facts, now) || facts.domain_out)
+    if (!is_recovering(facts, now) || facts.domain_out || facts.upstream_disowns)
         return;
     const auto left = std::chrono::duration_cast<core::milliseconds>(facts.recovers_until - now).count();
     const auto left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 1));
@@ -153,7 +204,11 @@
 packet_decision flow_agent::decide(
     const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
 {
-    auto decision = decide_unlimited(packet, header, facts, now);
+    return limit_answer(decide_unlimited(packet, header, facts, now), packet, now);
+}
+
+packet_decision flow_agent::limit_answer(packet_decision decision, const packet_facts& packet, core::time_point now)
+{
     if (decision.action != packet_action::reject)
         return decision;
     auto& answers = may_start_flow(packet.kind) ? new_answers_ : open_answers_;
@@ -173,8 +228,11 @@
     if (auto known = follow(packet, header, facts, now))
         return *std::move(known);
     // A flow that is known was checked when it began, and goes on when its address is given to another service.
-    if (!is_for_service(packet.flow, facts))
-        return dropped(packet_reason::foreign);
+    if (!is_for_service(packet, header, facts))
+        return misdirected(packet, header, facts);
+    if (facts.upstream_disowns && is_recovering(facts, now) && !may_start_flow(packet.kind)
+        && !was_asked(header, header.position) && flows_.insert(packet, {std::nullopt, earliest(facts)}, now))
+        return {packet_action::adopt, packet_reason::none, std::nullopt};
     auto next = header;
     next.asked |= 1U << header.position;
     switch (header.phase) {
@@ -188,6 +246,29 @@
     return assign(packet, next, facts, now);
 }
 
+/// Decides about a packet that the balancer's table takes for a flow of this service and the agent's own does not. The
+/// agent's table is the newer one: a new flow goes where that sends it.
+packet_decision flow_agent::misdirected(
+    const packet_facts& packet, const packet_header& header, const agent_facts& facts)
+{
+    if (!facts.table || !may_start_flow(packet.kind) || header.table >= facts.applied)
+        return dropped(packet_reason::foreign);
+    const auto& destinations = facts.table->destinations();
+    const auto* const target = destinations.choose(packet.flow);
+    if (target == nullptr)
+        return destinations.state_of(packet.flow) == address_state::withdrawn ? rejected(packet_reason::withdrawn)
+                                                                              : dropped(packet_reason::foreign);
+    const auto* const members = facts.table->find_chain(target->service, bucket_of_flow(packet.flow));
+    if (members == nullptr || members->candidates == 0)
+        return rejected(packet_reason::no_capacity);
+    auto next = header;
+    next.table = facts.applied;
+    use_chain(next, target->service, *members);
+    if (packet.is_first)
+        next.phase = search_phase::place;
+    return forwarded(std::move(next), 0);
+}
+
 std::optional<packet_decision> flow_agent::follow(
     const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
 {
@@ -239,7 +320,8 @@
         // packet again.
         return dropped(packet_reason::unknown_flow);
     } else if (!may_start_flow(packet.kind)) {
-        return unknown(packet, now);
+        if (!search_next_service(packet, header, facts))
+            return unknown(packet, now);
     } else if (!begin_placement(header)) {
         return rejected(packet_reason::no_capacity);
     }
@@ -253,6 +335,73 @@
                                                : assign(packet, header, facts, now);
 }
 
+/// Goes on with the next service of the flow's route that may hold the flow: the route's targets or their weights may
+/// have changed since the flow began. Returns false when there is none.
+bool flow_agent::search_next_service(const packet_facts& packet, packet_header& header, const agent_facts& facts)
+{
+    const auto* const route = facts.table ? facts.table->destinations().find(packet.flow) : nullptr;
+    if (route == nullptr || header.searched.size() >= max_searched_services)
+        return false;
+    header.searched.push_back(header.service);
+    const auto bucket = bucket_of_flow(packet.flow);
+    for (const auto& it : services_of(*route)) {
+        if (std::find(header.searched.begin(), header.searched.end(), it) != header.searched.end())
+            continue;
+        const auto* const members = facts.table->find_chain(it, bucket);
+        if (members == nullptr || members->members.empty())
+            continue;
+        use_chain(header, it, *members);
+        return true;
+    }
+    return false;
+}
+
+std::optional<packet_header> flow_agent::make_header(const packet_facts& packet, const agent_facts& facts)
+{
+    if (!facts.members)
+        return std::nullopt;
+    packet_header result;
+    result.table = facts.applied;
+    use_chain(result, facts.service, facts.members->chain_of(bucket_of_flow(packet.flow)));
+    const auto* const self = facts.members->find_member(facts.self);
+    if (self == nullptr)
+        return std::nullopt;
+    result.position = position_of(result, {facts.self, self->target.packet_endpoint});
+    return result;
+}
+
+packet_decision flow_agent::decide_disowned(
+    const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
+{
+    if (!names(header, facts))
+        return dropped(packet_reason::foreign);
+    flows_.erase(packet.flow);
+    auto next = header;
+    next.asked |= 1U << header.position;
+    if (may_start_flow(packet.kind)) {
+        refuses_until_ = now + refusal_pause;
+        return limit_answer(place_disowned(packet, std::move(next), facts, now), packet, now);
+    }
+    next.phase = search_phase::find;
+    return limit_answer(search(packet, std::move(next), facts, now), packet, now);
+}
+
+/// Offers a new flow that the upstream has refused to the other candidates.
+packet_decision flow_agent::place_disowned(
+    const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now)
+{
+    // What is known of the flow is out of date: the upstream held it, or took it, and has lost it.
+    if (header.phase == search_phase::find && !begin_placement(header))
+        return rejected(packet_reason::no_capacity);
+    if (header.hops >= max_hops || header.phase == search_phase::assign)
+        return rejected(packet_reason::no_capacity);
+    if (!names(header, facts)) {
+        const auto position = header.position;
+        return forwarded(std::move(header), position);
+    }
+    return place(packet, std::move(header), facts, now);
+}
+
 packet_decision flow_agent::unknown(const packet_facts& packet, core::time_point now)
 {
     return unknown_.confirm(packet.flow, now) ? rejected(packet_reason::unknown_flow)
@@ -357,16 +506,7 @@
     if (chain.members.empty())
         return rejected(packet_reason::no_capacity);
     header.table = facts.applied;
-    header.chain.clear();
-    for (const auto& it : chain.members)
-        header.chain.push_back({it.id, it.packet_endpoint});
-    header.candidates = static_cast<std::uint32_t>(chain.candidates);
-    header.position = 0;
-    header.phase = search_phase::find;
-    header.asked = 0;
-    header.restarted.reset();
-    header.recovery_left_ms = 0;
-    header.fallback.reset();
+    use_chain(header, facts.service, chain);
     if (!names(header, facts)) {
         // Later packets by the old table reach the flow through this entry.
         flows_.insert(packet, {header.chain.front(), header.table}, now);
@@ -413,7 +553,8 @@
 bool flow_agent::admits(const flow_admission& admission, core::time_point now)
 {
     new_flows_.set_rate(admission.new_flows_per_second, admission.burst);
-    return admission.accepts_new_flows && flows_.open_flows() < admission.max_open_flows && new_flows_.allows(now);
+    return now >= refuses_until_ && admission.accepts_new_flows && flows_.open_flows() < admission.max_open_flows
+        && new_flows_.allows(now);
 }
 
 void flow_agent::maintain(const agent_facts& facts, core::time_point now)
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -44,6 +44,8 @@
     no_capacity,
     /// The flow table is full of established flows.
     table_full,
+    /// Operators have removed the route of the flow's destination.
+    withdrawn,
     /// The packet would be rejected, but answers are being sent at their highest rate.
     answer_limit,
 };
@@ -79,6 +81,15 @@
     packet_decision decide(
         const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now);
 
+    /// Decides about a packet that the upstream has returned because it neither holds nor takes its flow. `header` is
+    /// the one that the packet was handed over with.
+    packet_decision decide_disowned(
+        const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now);
+
+    /// Returns a header for a packet of which none is known, by the agent's own table: as if a balancer with that table
+    /// had sent the packet to this agent. Nothing when the table has no route for it.
+    static std::optional<packet_header> make_header(const packet_facts& packet, const agent_facts& facts);
+
     /// Forgets flows that have been idle for too long, and all flows when the failure domain is out: they are
     /// abandoned.
     void maintain(const agent_facts& facts, core::time_point now);
@@ -94,6 +105,7 @@
     const flow_table& flows() const { return flows_; }
 
 private:
+    packet_decision limit_answer(packet_decision decision, const packet_facts& packet, core::time_point now);
     packet_decision decide_unlimited(
         const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now);
     std::optional<packet_decision> follow(
@@ -102,6 +114,11 @@
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     packet_decision finish_search(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
+    static bool search_next_service(const packet_facts& packet, packet_header& header, const agent_facts& facts);
+    packet_decision place_disowned(
+        const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
+    static packet_decision misdirected(
+        const packet_facts& packet, const packet_header& header, const agent_facts& facts);
     packet_decision unknown(const packet_facts& packet, core::time_point now);
     void note_version(const core::version& seen, const agent_facts& facts, core::time_point now);
     bool lacks_change(const packet_header& header, const agent_facts& facts, core::time_point now) const;
@@ -119,6 +136,9 @@
     bool extend(const packet_facts& packet, packet_header& header, const agent_facts& facts, core::time_point now);
     bool admits(const flow_admission& admission, core::time_point now);
 
+    /// How long an upstream that has returned a SYN is not offered another one.
+    static constexpr core::milliseconds refusal_pause{50};
+
     /// How long flows are placed by a table after this agent has replaced it, and how long an agent that lacks a change
     /// waits for it. The watermark lags behind by as much.
     static constexpr std::chrono::seconds table_lag{10};
@@ -130,6 +150,8 @@
     std::optional<core::time_point> behind_since_;
     /// Versions that were applied within table_lag, with their times, and the newest one before.
     std::deque<std::pair<core::time_point, core::version>> applied_;
+    /// The upstream takes no new flow until then: it has returned one.
+    core::time_point refuses_until_{};
     rate_limiter new_flows_;
     rate_limiter extensions_;
     /// For packets that may begin a flow, and for others.
--- a/libraries/ibisdyke/routing/flow_table.h
+++ b/libraries/ibisdyke/routing/flow_table.h
@@ -24,7 +24,7 @@
     /// After the first packet of a flow. Longer than the retransmissions of a SYN.
     std::chrono::seconds embryonic_idle{60};
     std::chrono::seconds udp_idle{300};
-    std::chrono::hours tcp_idle{2};
+    core::milliseconds tcp_idle = std::chrono::hours(2);
     /// After a FIN or RST. Packets in the other direction keep the flow open through the caller's acknowledgements.
     std::chrono::seconds closing_idle{60};
 
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -26,6 +26,9 @@
 /// chain left out. At most the bits of packet_header::asked.
 constexpr std::size_t max_header_members = 24;
 
+/// Bounds the services that are searched for one packet.
+constexpr std::size_t max_searched_services = 8;
+
 /// Bounds the agents that one packet visits.
 constexpr std::uint32_t max_hops = 64;
 
@@ -58,6 +61,8 @@
     std::optional<std::uint32_t> fallback;
     /// Agents visited so far.
     std::uint32_t hops = 0;
+    /// Other services of the flow's route whose members were asked and did not know the flow.
+    std::vector<core::service_id> searched;
     /// Bit n is set when chain[n] has had the packet in this phase and did not know the flow, or only knew where it was
     /// passed along. Redirect entries that are out of date must not lead the packet in a circle.
     std::uint32_t asked = 0;
--- a/libraries/ibisdyke/routing/packet_facts.h
+++ b/libraries/ibisdyke/routing/packet_facts.h
@@ -23,8 +23,12 @@
 struct packet_facts {
     flow_key flow;
     packet_kind kind = packet_kind::datagram;
-    /// Size of the IP packet.
+    /// Size of the packet.
     std::uint32_t size_bytes = 0;
+    /// The packet is known to be the first of its flow, so that no member can know the flow yet.
+    bool is_first = false;
+    /// The packet carries data, not only an acknowledgement.
+    bool has_data = false;
 
     friend bool operator==(const packet_facts&, const packet_facts&) = default;
 };
--- a/libraries/ibisdyke/routing/routing_table.h
+++ b/libraries/ibisdyke/routing/routing_table.h
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/core/version.h"
 #include "ibisdyke/routing/chain.h"
+#include "ibisdyke/routing/destination_table.h"
 #include "ibisdyke/routing/flow_key.h"
 #include "ibisdyke/routing/member.h"
 #include "ibisdyke/routing/service_chains.h"
@@ -24,9 +25,11 @@
 class routing_table {
 public:
     /// Computes the chains of all buckets. Chains of services that are the same in `previous` are shared with it. When
-    /// two services have the same public address, the one with the lower id gets it.
+    /// two services have the same public address, the one with the lower id gets it. Targets of `routes` that are not
+    /// among the services take no flows.
     static std::shared_ptr<const routing_table> create(const core::version& at,
-        const std::vector<service_members>& services, const std::shared_ptr<const routing_table>& previous);
+        const std::vector<service_members>& services, const std::shared_ptr<const routing_table>& previous,
+        const route_set& routes = {});
 
     const core::version& at() const { return at_; }
 
@@ -42,30 +45,25 @@
     /// Returned by find_destination() for an address of no service.
     static constexpr std::uint32_t no_service = 0xffff'ffff;
 
-    /// Returns the index in services() of the service at the flow's destination, or no_service.
+    /// Returns the index in services() of the service that takes the flow, or no_service.
     std::uint32_t find_destination(const flow_key& flow) const;
 
+    const destination_table& destinations() const { return destinations_; }
+
     /// Returns an estimate of the memory held.
     std::size_t size_bytes() const;
 
 private:
-    /// A slot of the hash table of addresses, which is probed linearly.
-    struct address_slot {
-        std::uint64_t address = 0;
-        std::uint32_t service = no_service;
-    };
-
     explicit routing_table(const core::version& at)
         : at_(at)
     {
     }
 
-    void index_addresses();
+    std::uint32_t index_of(const core::service_id& service) const;
 
     core::version at_;
     std::vector<std::shared_ptr<const service_chains>> services_;
-    /// The size is a power of two and at least twice the number of addresses.
-    std::vector<address_slot> addresses_;
+    destination_table destinations_;
 };
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -56,6 +56,8 @@
     message.set_fallback(write_position(it.fallback));
     message.set_hops(it.hops);
     message.set_asked(it.asked);
+    for (const auto& service : it.searched)
+        message.add_searched(service.value());
     return message.SerializeAsString();
 }
 
@@ -87,6 +89,10 @@
     result.fallback = read_position(message.fallback());
     result.hops = message.hops();
     result.asked = message.asked();
+    if (message.searched_size() > static_cast<int>(max_searched_services))
+        throw core::malformed_message("packet header names " + std::to_string(message.searched_size()) + " services");
+    for (const auto service : message.searched())
+        result.searched.emplace_back(service);
     return result;
 }
 
--- a/libraries/ibisdyke/settings/settings_parser.cpp
+++ b/libraries/ibisdyke/settings/settings_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/parse_number.h"
+#include "ibisdyke/settings/settings_file.h"
 
 #include <cxxopts.hpp>
 
@@ -224,6 +225,7 @@
     : program_(std::move(program))
     , summary_(std::move(summary))
 {
+    add_text(settings_file_flag, "File with further settings, one FLAG=VALUE a line", "", presence::optional);
 }
 
 settings_parser::~settings_parser() = default;
@@ -296,12 +298,18 @@
         }
         if (!parsed.unmatched().empty())
             throw core::invalid_input("argument", parsed.unmatched().front(), "flags only");
+        const auto given = [&parsed](const std::string& flag) -> std::optional<std::string> {
+            const auto* const variable = std::getenv(variable_name(flag).c_str());
+            if (parsed.count(flag) > 0)
+                return parsed[flag].as<std::string>();
+            return variable != nullptr ? std::optional<std::string>(variable) : std::nullopt;
+        };
+        const auto in_file = read_settings_file(given(settings_file_flag).value_or(""));
         std::map<std::string, std::string> values;
         for (const auto& flag : order_) {
-            auto value = parsed[flag].as<std::string>();
-            const auto* const variable = std::getenv(variable_name(flag).c_str());
-            if (parsed.count(flag) == 0 && variable != nullptr)
-                value = variable;
+            const auto from_file = in_file.find(flag);
+            const auto& fallback = from_file == in_file.end() ? parsed[flag].as<std::string>() : from_file->second;
+            auto value = given(flag).value_or(fallback);
             declarations_.at(flag)->check(flag, value);
             values.emplace(flag, std::move(value));
         }
@@ -311,6 +319,18 @@
     }
 }
 
+std::map<std::string, std::string> settings_parser::read_settings_file(const std::string& path) const
+{
+    if (path.empty())
+        return {};
+    auto result = parse_settings_file(read_file(path));
+    for (const auto& [flag, value] : result) {
+        if (!declarations_.contains(flag))
+            throw core::invalid_input("--settings-file", flag, "the flags that --help lists");
+    }
+    return result;
+}
+
 std::string settings_parser::variable_name(const std::string& flag)
 {
     std::string result = "IBISDYKE_";
--- a/libraries/ibisdyke/settings/settings_parser.h
+++ b/libraries/ibisdyke/settings/settings_parser.h
@@ -41,8 +41,9 @@
     optional,
 };
 
-/// Reads settings from flags and, where a flag is missing, from environment variables: --drain-limit-ms is also
-/// IBISDYKE_DRAIN_LIMIT_MS. Every value is checked by parse(), so that a process with a bad setting does not start.
+/// Reads settings from flags, where a flag is missing from environment variables, and else from the settings file, if
+/// there is one: --drain-limit-ms is also IBISDYKE_DRAIN_LIMIT_MS, or drain-limit-ms in the file. Every value is
+/// checked by parse(), so that a process with a bad setting does not start.
 class settings_parser {
 public:
     settings_parser(std::string program, std::string summary);
@@ -78,6 +79,7 @@
 private:
     class declaration;
 
+    std::map<std::string, std::string> read_settings_file(const std::string& path) const;
     void declare(const std::string& flag, std::unique_ptr<declaration> it);
 
     std::string program_;
--- a/libraries/ibisdyke/transport/clock.h
+++ b/libraries/ibisdyke/transport/clock.h
@@ -2,12 +2,18 @@
 
 #include "ibisdyke/core/time.h"
 
+#include <chrono>
+#include <ctime>
+
 namespace ibisdyke::transport {
 
-/// Returns the present time of the monotonic clock. Decision code gets it as an argument and must not call this.
+/// Returns the present time of the monotonic clock that goes on while the VM is suspended: a lease must not look young
+/// after a pause. Decision code gets the time as an argument and must not call this.
 inline core::time_point read_clock()
 {
-    return std::chrono::steady_clock::now();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return core::time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 /// Returns the present calendar time, rounded down to whole milliseconds.
--- a/libraries/ibisdyke/transport/datagram_socket.h
+++ b/libraries/ibisdyke/transport/datagram_socket.h
@@ -17,6 +17,12 @@
     /// Returns the address that datagrams are received at.
     virtual core::endpoint local() const = 0;
 
+    /// Returns the file descriptor that becomes readable when datagrams arrive.
+    virtual int descriptor() const = 0;
+
+    /// Makes wait() also return when datagrams have arrived at the other socket, which must outlive this one.
+    virtual void also_wait_for(const datagram_socket& other) = 0;
+
     /// Blocks until datagrams have arrived, wake() was called or the time has passed.
     virtual void wait(core::milliseconds timeout) = 0;
 
--- a/libraries/ibisdyke/transport/signal_watcher.cpp
+++ b/libraries/ibisdyke/transport/signal_watcher.cpp
@@ -20,6 +20,7 @@
     sigaddset(&result, SIGTERM);
     sigaddset(&result, SIGINT);
     sigaddset(&result, SIGUSR1);
+    sigaddset(&result, SIGHUP);
     return result;
 }
 
@@ -32,10 +33,12 @@
         throw core::system_failure("cannot block signals");
 }
 
-signal_watcher::signal_watcher(std::function<void()> on_stop, std::function<void()> on_dump, QObject* parent)
+signal_watcher::signal_watcher(
+    std::function<void()> on_stop, std::function<void()> on_dump, std::function<void()> on_reload, QObject* parent)
     : QObject(parent)
     , on_stop_(std::move(on_stop))
     , on_dump_(std::move(on_dump))
+    , on_reload_(std::move(on_reload))
 {
     block_signals();
     const auto watched = watched_signals();
@@ -60,6 +63,8 @@
         return;
     if (info.ssi_signo == SIGUSR1)
         on_dump_();
+    else if (info.ssi_signo == SIGHUP)
+        on_reload_();
     else
         on_stop_();
 }
--- a/libraries/ibisdyke/transport/signal_watcher.h
+++ b/libraries/ibisdyke/transport/signal_watcher.h
@@ -13,7 +13,8 @@
 class signal_watcher : public QObject {
 public:
     /// Throws core::system_failure when the signals cannot be watched.
-    signal_watcher(std::function<void()> on_stop, std::function<void()> on_dump, QObject* parent);
+    signal_watcher(
+        std::function<void()> on_stop, std::function<void()> on_dump, std::function<void()> on_reload, QObject* parent);
 
     /// Blocks the watched signals in the calling thread and in all threads that it creates later. A program that has
     /// other threads before its signal_watcher calls this first: a signal that any thread does not block ends the
@@ -31,6 +32,7 @@
 
     std::function<void()> on_stop_;
     std::function<void()> on_dump_;
+    std::function<void()> on_reload_;
     int descriptor_ = -1;
     QSocketNotifier* notifier_ = nullptr;
 };
--- a/libraries/ibisdyke/transport/udp_socket.cpp
+++ b/libraries/ibisdyke/transport/udp_socket.cpp
@@ -92,11 +92,13 @@
 
 void udp_socket::wait(core::milliseconds timeout)
 {
-    std::array<pollfd, 2> watched{pollfd{socket_, POLLIN, 0}, pollfd{wake_up_, POLLIN, 0}};
+    std::vector<pollfd> watched{pollfd{wake_up_, POLLIN, 0}, pollfd{socket_, POLLIN, 0}};
+    for (const auto it : others_)
+        watched.push_back({it, POLLIN, 0});
     if (poll(watched.data(), watched.size(), static_cast<int>(timeout.count())) <= 0)
         return;
     std::uint64_t count = 0;
-    if (watched[1].revents != 0 && read(wake_up_, &count, sizeof(count)) < 0 && errno != EAGAIN)
+    if (watched[0].revents != 0 && read(wake_up_, &count, sizeof(count)) < 0 && errno != EAGAIN)
         fail("cannot read an event");
 }
 
--- a/libraries/ibisdyke/transport/udp_socket.h
+++ b/libraries/ibisdyke/transport/udp_socket.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace ibisdyke::transport {
 
@@ -26,6 +27,8 @@
     udp_socket& operator=(udp_socket&&) = delete;
 
     core::endpoint local() const override { return local_; }
+    int descriptor() const override { return socket_; }
+    void also_wait_for(const datagram_socket& other) override { others_.push_back(other.descriptor()); }
     void wait(core::milliseconds timeout) override;
     void wake() override;
     std::size_t receive(datagram_batch& batch) override;
@@ -39,6 +42,8 @@
     int socket_ = -1;
     int wake_up_ = -1;
     core::endpoint local_;
+    /// Further descriptors that end a wait.
+    std::vector<int> others_;
     /// Arguments of the system calls, kept to avoid setting them up anew for each batch.
     std::unique_ptr<buffers> buffers_;
 };
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/admission/share_admission.h"
 #include "ibisdyke/frontends/admission_reporter.h"
+#include "ibisdyke/frontends/control_settings.h"
 #include "ibisdyke/frontends/flow_report.h"
 #include "ibisdyke/frontends/routing_input.h"
 #include "ibisdyke/observability/log.h"
@@ -28,6 +29,15 @@
 /// New flows that may begin at once in a cold start, as a share of those of a second.
 constexpr double burst_share = 0.1;
 
+/// Returns the address at which others reach what the process listens on; no address when it does not listen.
+core::endpoint advertised(const settings::setting_values& values, const std::string& what)
+{
+    if (values.is_empty("listen-" + what))
+        return {};
+    const auto flag = "advertise-" + what;
+    return values.endpoint(values.is_empty(flag) ? "listen-" + what : flag);
+}
+
 const configuration::service* find_service(const dissemination::system_state& state, const std::string& name)
 {
     const auto& services = state.configuration.services;
@@ -46,14 +56,29 @@
     parser.add_number("slots", "Requests that the upstream serves at the same time", 1, 1, max_slots);
     parser.add_number("max-flows", "Bound of the flow table, with the flows that were passed along",
         routing::flow_limits{}.max_entries, 1, max_flows);
+    frontends::declare_peer_port(parser);
     parser.add_endpoints("control", "Peer endpoints of the control processes", presence::required);
     parser.add_endpoints("peers", "Peer endpoints of balancers to ask when control is lost", presence::optional);
     parser.add_endpoint("listen-packets", "Address for packets from balancers (UDP)", "", presence::required);
     parser.add_endpoint("advertise-packets", "Address that others reach listen-packets at", "", presence::optional);
-    parser.add_endpoint("listen-requests", "Address for requests from balancers (HTTP/2)", "", presence::required);
+    parser.add_endpoint(
+        "listen-requests", "Address for requests from balancers (HTTP/2); empty takes none", "", presence::optional);
     parser.add_endpoint("advertise-requests", "Address that others reach listen-requests at", "", presence::optional);
     parser.add_endpoint("upstream-packets", "Where the upstream takes IP packets (UDP)", "", presence::required);
-    parser.add_endpoint("upstream-requests", "Where the upstream takes requests (HTTP/2)", "", presence::required);
+    parser.add_endpoint("upstream-requests", "Where the upstream takes requests (HTTP/2)", "", presence::optional);
+    parser.add_endpoint("listen-upstream-packets",
+        "Address for the upstream's own packets (UDP), where the front end sends them through the agent", "",
+        presence::optional);
+    parser.add_endpoint("listen-announcements",
+        "Address for the upstream's announcements, where the front end has them; without it the upstream is there as "
+        "long as its agent",
+        "", presence::optional);
+    parser.add_endpoint(
+        "listen-health", "Address for the health check, where the front end has one", "", presence::optional);
+    parser.add_duration("announcement-ms", "Time between announcements of the upstream", core::milliseconds(1000),
+        core::milliseconds(10), core::milliseconds(60'000));
+    parser.add_duration("flow-idle-ms", "Time after which an open flow without packets is forgotten",
+        routing::flow_limits{}.tcp_idle, core::milliseconds(1000), core::milliseconds(86'400'000));
     parser.add_endpoint("return-packets", "Where packets towards callers go (UDP)", "", presence::required);
     parser.add_duration("drain-limit-ms", "Longest time to wait for flows and requests on a stop",
         core::milliseconds(30'000), core::milliseconds(0), max_drain_limit);
@@ -61,22 +86,29 @@
         core::milliseconds(60'000), core::milliseconds(0), max_recovery_window);
 }
 
-agent_process::agent_process(frontends::process_host& host, const settings::setting_values& values)
+agent_process::agent_process(
+    frontends::process_host& host, const settings::settings_source& source, const frontends::front_end& world)
     : host_(host)
-    , service_(values.text("service"))
-    , packet_endpoint_(values.endpoint(values.is_empty("advertise-packets") ? "listen-packets" : "advertise-packets"))
-    , request_endpoint_(
-          values.endpoint(values.is_empty("advertise-requests") ? "listen-requests" : "advertise-requests"))
-    , slots_(static_cast<std::uint32_t>(values.number("slots")))
-    , drain_limit_(values.duration("drain-limit-ms"))
-    , recovery_window_(values.duration("recovery-ms"))
+    , service_(source.initial().text("service"))
+    , packet_endpoint_(advertised(source.initial(), "packets"))
+    , request_endpoint_(advertised(source.initial(), "requests"))
+    , slots_(static_cast<std::uint32_t>(source.initial().number("slots")))
+    , drain_limit_(source.initial().duration("drain-limit-ms"))
+    , recovery_window_(source.initial().duration("recovery-ms"))
     , started_(transport::read_clock())
     , started_wall_(transport::read_wall_clock())
     , usage_(host.identity().incarnation)
 {
+    const auto& values = source.initial();
     create_control_connections(values);
-    create_packet_thread(values);
-    create_request_thread(values);
+    create_packet_thread(values, world);
+    create_announcement_server(values, world);
+    create_health_server(values, world);
+    if (!values.is_empty("listen-requests"))
+        create_request_thread(values);
+    host_.watch_settings(source, [this](const settings::setting_values& next) {
+        contacts_->set_listed(frontends::peer_endpoints(next, "control"));
+    });
 }
 
 void agent_process::create_control_connections(const settings::setting_values& values)
@@ -84,25 +116,56 @@
     auto* const meter = &host_.control_traffic();
     const auto& identity = host_.identity();
     subscriber_ = std::make_unique<frontends::state_subscriber>(
-        frontends::subscriber_settings{identity.name, values.endpoints("control"), values.endpoints("peers"),
-            std::nullopt, identity.source_address, {}},
+        frontends::subscriber_settings{identity.name, frontends::peer_endpoints(values, "control"),
+            values.endpoints("peers"), std::nullopt, identity.source_address, {}},
         host_.counters(), meter, nullptr);
     subscriber_->on_state([this](const auto& state) { take_state(state); });
     heartbeats_ = std::make_unique<frontends::heartbeat_sender>(
-        values.endpoints("control"), identity.source_address, host_.counters(), meter,
+        frontends::peer_endpoints(values, "control"), identity.source_address, host_.counters(), meter,
         [this] { return make_heartbeat(); }, [this](const auto& answer) { take_answer(answer); }, nullptr);
+    contacts_ = std::make_unique<frontends::control_contacts>(
+        frontends::peer_endpoints(values, "control"), *heartbeats_, *subscriber_);
+}
+
+void agent_process::create_announcement_server(
+    const settings::setting_values& values, const frontends::front_end& world)
+{
+    if (values.is_empty("listen-announcements"))
+        return;
+    presence_.emplace(service_, values.endpoint("upstream-packets"), values.duration("announcement-ms"));
+    announcement_server_ = std::make_unique<QHttpServer>();
+    world.serve_announcements(*announcement_server_, *this);
+    frontends::listen(*announcement_server_, values.endpoint("listen-announcements"));
 }
 
-void agent_process::create_packet_thread(const settings::setting_values& values)
+void agent_process::create_health_server(const settings::setting_values& values, const frontends::front_end& world)
+{
+    if (values.is_empty("listen-health"))
+        return;
+    health_server_ = std::make_unique<QHttpServer>();
+    world.serve_health(*health_server_, [this] { return check_health(); });
+    frontends::listen(*health_server_, values.endpoint("listen-health"));
+}
+
+void agent_process::create_packet_thread(const settings::setting_values& values, const frontends::front_end& world)
 {
     frontends::packet_receiver_settings settings;
     settings.upstream = values.endpoint("upstream-packets");
-    settings.caller_return = values.endpoint("return-packets");
     settings.limits.max_entries = values.number("max-flows");
-    auto socket =
+    settings.limits.tcp_idle = values.duration("flow-idle-ms");
+    frontends::packet_receiver::sockets sockets;
+    sockets.peers =
         transport::udp_socket::create(values.endpoint("listen-packets"), transport::address_sharing::exclusive);
-    receiver_ = std::make_unique<frontends::packet_receiver>(settings, std::move(socket), facts_, host_.counters(),
-        *host_.parent(), [this](const core::version& latest, const core::endpoint&) { refresh(latest); });
+    frontends::packet_receiver::formats formats{world.callers(values.endpoint("return-packets")), nullptr};
+    if (!values.is_empty("listen-upstream-packets")) {
+        sockets.upstream = transport::udp_socket::create(
+            values.endpoint("listen-upstream-packets"), transport::address_sharing::exclusive);
+        formats.upstream = world.upstreams();
+    }
+    upstream_disowns_ = formats.upstream != nullptr;
+    receiver_ = std::make_unique<frontends::packet_receiver>(settings, std::move(sockets), std::move(formats), facts_,
+        host_.counters(), *host_.parent(),
+        [this](const core::version& latest, const core::endpoint&) { refresh(latest); });
 }
 
 void agent_process::create_request_thread(const settings::setting_values& values)
@@ -132,30 +195,83 @@
     subscriber_->start();
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { on_tick(); });
     timer_.start(tick_period);
-    const auto check = [this] {
-        if (stop_deadline_)
-            return frontends::health{false, "draining"};
-        if (is_domain_out())
-            return frontends::health{false, "failure domain is out of service"};
-        return frontends::health{id_.has_value(), id_ ? "" : "not announced yet"};
-    };
-    const frontends::admission_reporter admission(*requests_);
-    return host_.run({subscriber_.get(), receiver_.get(), &admission}, check, [this] { stop(); });
+    std::vector<const observability::state_reporter*> reporters{subscriber_.get(), receiver_.get()};
+    std::optional<frontends::admission_reporter> admission;
+    if (requests_ != nullptr)
+        reporters.push_back(&admission.emplace(*requests_));
+    return host_.run(
+        std::move(reporters), [this] { return check_health(); }, [this] { stop(); });
+}
+
+frontends::health agent_process::check_health() const
+{
+    if (stop_deadline_)
+        return {false, "draining"};
+    if (is_domain_out())
+        return {false, "failure domain is out of service"};
+    return {id_.has_value(), id_ ? "" : "not announced yet"};
+}
+
+void agent_process::on_announcement(const membership::announcement& it)
+{
+    if (!presence_->take(it, transport::read_clock())) {
+        host_.counters().add("upstream_announcements_old", 1);
+        return;
+    }
+    host_.counters().add("upstream_announcements", 1);
+    slots_ = it.slots;
+    start_heartbeats();
+    note_presence();
+}
+
+void agent_process::on_leave(const std::string& id)
+{
+    presence_->leave(id);
+    note_presence();
+}
+
+/// Acts on a change of the upstream's state: its flows are guarded by the new state before the caller answers the
+/// upstream.
+void agent_process::note_presence()
+{
+    publish_facts();
+    const auto state = presence_->state(transport::read_clock());
+    if (state == std::exchange(announced_, state))
+        return;
+    observability::write_log(
+        observability::log_level::info, "upstream is " + std::string(membership::to_string(state)));
+    if (heartbeats_started_)
+        heartbeats_->send_now();
+}
+
+void agent_process::start_heartbeats()
+{
+    // Announcing only after the first state lets the state tell whether an earlier process served this upstream.
+    const bool is_there = !presence_ || presence_->latest();
+    if (first_seen_ && is_there && !std::exchange(heartbeats_started_, true))
+        heartbeats_->start();
+}
+
+bool agent_process::is_upstream_ready(core::time_point now) const
+{
+    return !presence_ || presence_->state(now) == membership::presence::ready;
 }
 
 void agent_process::take_state(const dissemination::system_state_snapshot& state)
 {
-    routes_.publish(routing::routing_table::create(state->applied, frontends::routing_input(*state), routes_.load()));
+    routes_.publish(routing::routing_table::create(state->applied, frontends::routing_input(*state), routes_.load(),
+        frontends::flow_routes(state->configuration)));
     states_.publish(state);
-    if (!first_seen_) {
+    contacts_->take(state->membership);
+    if (!first_seen_)
         first_seen_ = state->applied;
-        // Announcing only now lets the state tell whether an earlier process served this upstream.
-        heartbeats_->start();
-    }
-    const auto out = is_domain_out();
-    if (was_out_ && !out)
+    start_heartbeats();
+    const auto domain = domain_state();
+    const auto before = std::exchange(seen_domain_, domain);
+    if (before != configuration::domain_state::in && domain == configuration::domain_state::in)
+        reopened_ = transport::read_clock();
+    if (requests_ != nullptr && before == configuration::domain_state::out && !is_domain_out())
         request_thread_->post([this] { requests_->begin_cold_start(); });
-    was_out_ = out;
     publish_identity();
     publish_facts();
 }
@@ -196,13 +312,43 @@
     return stop_deadline_.has_value() || (self != nullptr && self->state == membership::upstream_state::draining);
 }
 
-bool agent_process::is_domain_out() const
+configuration::domain_state agent_process::domain_state() const
 {
     const auto state = states_.load();
     if (!state)
-        return false;
+        return configuration::domain_state::in;
     const auto it = state->configuration.domains.find(host_.identity().domain);
-    return it != state->configuration.domains.end() && it->second.state == configuration::domain_state::out;
+    return it == state->configuration.domains.end() ? configuration::domain_state::in : it->second.state;
+}
+
+/// Whether the upstream is in a cold start, or may be: after its failure domain took in flows again, only its next
+/// announcement tells.
+bool agent_process::is_cold(core::time_point now) const
+{
+    return now < presence_->cold_until() || (reopened_ && presence_->heard() < *reopened_);
+}
+
+routing::flow_admission agent_process::make_admission(core::time_point now) const
+{
+    routing::flow_admission result;
+    const auto* const self = find_self();
+    result.accepts_new_flows = !is_draining() && is_upstream_ready(now) && self != nullptr
+        && membership::is_eligible(self->state) && domain_state() == configuration::domain_state::in;
+    result.mean_open_flows = mean_open_flows_;
+    if (requests_ != nullptr) {
+        result.new_flows_per_second = requests_->allowed_flows_per_second();
+        if (!std::isinf(result.new_flows_per_second))
+            result.burst = std::max(1.0, result.new_flows_per_second * burst_share);
+    }
+    if (!presence_ || !is_cold(now))
+        return result;
+    const auto state = states_.load();
+    const auto* const service = state ? find_service(*state, service_) : nullptr;
+    if (service == nullptr || service->cold_start == configuration::cold_start_bound{})
+        return result;
+    result.new_flows_per_second = service->cold_start.flows_per_second;
+    result.burst = std::max(1.0, result.new_flows_per_second * burst_share);
+    return result;
 }
 
 void agent_process::publish_identity()
@@ -228,16 +374,13 @@
     next.self = *id_;
     next.service = self->service;
     next.applied = state->applied;
-    next.members = routes_.load()->find_service(self->service);
+    next.table = routes_.load();
+    next.members = next.table->find_service(self->service);
+    next.upstream_disowns = upstream_disowns_;
     next.domain_out = is_domain_out();
     if (restarted_)
         next.recovers_until = started_ + recovery_window_;
-    next.admission.accepts_new_flows = !is_draining() && membership::is_eligible(self->state);
-    next.admission.new_flows_per_second = requests_->allowed_flows_per_second();
-    next.admission.burst = std::isinf(next.admission.new_flows_per_second)
-        ? std::numeric_limits<double>::infinity()
-        : std::max(1.0, next.admission.new_flows_per_second * burst_share);
-    next.admission.mean_open_flows = mean_open_flows_;
+    next.admission = make_admission(transport::read_clock());
     const auto present = facts_.load();
     if (!present || !(*present == next))
         facts_.publish(std::make_shared<const routing::agent_facts>(next));
@@ -272,7 +415,10 @@
 void agent_process::on_tick()
 {
     count_flow_usage();
-    publish_facts();
+    if (presence_)
+        note_presence();
+    else
+        publish_facts();
     if (stop_deadline_)
         check_drained();
 }
@@ -290,7 +436,7 @@
     result.packet_endpoint = packet_endpoint_;
     result.request_endpoint = request_endpoint_;
     result.slots = slots_;
-    result.draining = stop_deadline_.has_value();
+    result.draining = stop_deadline_.has_value() || !is_upstream_ready(transport::read_clock());
     result.usage = usage_.take_report(transport::read_clock());
     return frontends::with_flows(std::move(result), receiver_->view());
 }
@@ -302,10 +448,17 @@
 
 void agent_process::stop()
 {
+    // Without time to drain, a restart is the likely reason, and the flows stay with the upstream.
+    if (drain_limit_ == core::milliseconds{0})
+        return host_.finish();
     stop_deadline_ = transport::read_clock() + drain_limit_;
     heartbeats_->send_now();
     publish_identity();
     publish_facts();
+    if (requests_ == nullptr) {
+        requests_drained_ = true;
+        return;
+    }
     const auto drained = [this] {
         QMetaObject::invokeMethod(
             host_.parent(), [this] { requests_drained_ = true; }, Qt::QueuedConnection);
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "ibisdyke/core/snapshot_publisher.h"
+#include "ibisdyke/frontends/control_contacts.h"
+#include "ibisdyke/frontends/front_end.h"
 #include "ibisdyke/frontends/heartbeat_sender.h"
 #include "ibisdyke/frontends/packet_receiver.h"
 #include "ibisdyke/frontends/process_host.h"
@@ -8,8 +10,10 @@
 #include "ibisdyke/frontends/request_thread.h"
 #include "ibisdyke/frontends/state_subscriber.h"
 #include "ibisdyke/frontends/usage_meter.h"
+#include "ibisdyke/membership/upstream_presence.h"
 #include "ibisdyke/settings/settings_parser.h"
 
+#include <QHttpServer>
 #include <QTimer>
 
 #include <memory>
@@ -20,25 +24,38 @@
 
 /// The agent beside an upstream: a packet thread and a request thread that guard the upstream, and a control thread
 /// that announces it and follows the system state.
-class agent_process {
+class agent_process final : public frontends::announcement_sink {
 public:
     static void declare_settings(settings::settings_parser& parser);
 
-    agent_process(frontends::process_host& host, const settings::setting_values& values);
+    agent_process(
+        frontends::process_host& host, const settings::settings_source& source, const frontends::front_end& world);
 
     /// Returns when the process is to end.
     frontends::exit_code run();
 
+    void on_announcement(const membership::announcement& it) override;
+    void on_leave(const std::string& id) override;
+
 private:
     void create_control_connections(const settings::setting_values& values);
-    void create_packet_thread(const settings::setting_values& values);
+    void create_packet_thread(const settings::setting_values& values, const frontends::front_end& world);
+    void create_announcement_server(const settings::setting_values& values, const frontends::front_end& world);
+    void create_health_server(const settings::setting_values& values, const frontends::front_end& world);
     void create_request_thread(const settings::setting_values& values);
     void take_state(const dissemination::system_state_snapshot& state);
     void take_answer(const membership::heartbeat_answer& answer);
     bool is_restart_of(const core::upstream_id& id) const;
     const membership::upstream* find_self() const;
     bool is_draining() const;
-    bool is_domain_out() const;
+    bool is_upstream_ready(core::time_point now) const;
+    configuration::domain_state domain_state() const;
+    bool is_domain_out() const { return domain_state() == configuration::domain_state::out; }
+    bool is_cold(core::time_point now) const;
+    routing::flow_admission make_admission(core::time_point now) const;
+    frontends::health check_health() const;
+    void start_heartbeats();
+    void note_presence();
     void publish_identity();
     void publish_facts();
     void count_flow_usage();
@@ -71,14 +88,27 @@
     std::optional<core::upstream_id> id_;
     bool restarted_ = false;
     double mean_open_flows_ = 0;
-    bool was_out_ = false;
+    configuration::domain_state seen_domain_ = configuration::domain_state::in;
     std::optional<core::time_point> stop_deadline_;
     bool requests_drained_ = false;
 
+    /// Nothing when the upstream does not announce itself: it then is there as long as its agent.
+    std::optional<membership::upstream_presence> presence_;
+    /// What the last heartbeat said of the upstream.
+    membership::presence announced_ = membership::presence::absent;
+    bool heartbeats_started_ = false;
+    bool upstream_disowns_ = false;
+    /// When the failure domain took in flows again. The upstream may have restarted while it got none.
+    std::optional<core::time_point> reopened_;
+
     std::unique_ptr<frontends::state_subscriber> subscriber_;
     std::unique_ptr<frontends::heartbeat_sender> heartbeats_;
     std::unique_ptr<frontends::packet_receiver> receiver_;
+    std::unique_ptr<frontends::control_contacts> contacts_;
+    std::unique_ptr<QHttpServer> announcement_server_;
+    std::unique_ptr<QHttpServer> health_server_;
     QTimer timer_;
+    /// Null when the agent takes no requests.
     frontends::request_server* requests_ = nullptr;
     /// Last, so that its thread ends before what it reads is destroyed.
     std::unique_ptr<frontends::request_thread> request_thread_;
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -1,12 +1,20 @@
 #include "balancer_process.h"
 
+#include "ibisdyke/core/error.h"
+#include "ibisdyke/frontends/control_settings.h"
 #include "ibisdyke/frontends/routing_input.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/requests/attempt_selector.h"
 #include "ibisdyke/routing/router_kind.h"
+#include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 #include "ibisdyke/transport/udp_socket.h"
 
+#include <QHostAddress>
+#include <QNetworkDatagram>
+#include <QTimer>
+
+#include <optional>
 #include <utility>
 
 namespace ibisdyke::balancer {
@@ -33,11 +41,21 @@
 {
     using settings::presence;
     frontends::process_host::declare_settings(parser);
+    frontends::declare_peer_port(parser);
     parser.add_endpoints("control", "Peer endpoints of the control processes", presence::required);
     parser.add_endpoints("peers", "Peer endpoints of balancers to ask when control is lost", presence::optional);
     parser.add_endpoint("listen-packets", "Address for IP packets from the fabric (UDP)", "", presence::required);
     parser.add_endpoint("advertise-packets", "Address that agents send version notices to", "", presence::optional);
-    parser.add_endpoint("listen-requests", "Address for callers' requests (HTTP/2)", "", presence::required);
+    parser.add_endpoint("return-packets",
+        "Where packets to callers go (UDP); without it, packets that have no route are not answered", "",
+        presence::optional);
+    parser.add_endpoint("listen-notices",
+        "Address for the version notices of agents (UDP), when they cannot share listen-packets", "",
+        presence::optional);
+    parser.add_endpoint(
+        "listen-health", "Address for the health check, where the front end has one", "", presence::optional);
+    parser.add_endpoint(
+        "listen-requests", "Address for callers' requests (HTTP/2); empty takes none", "", presence::optional);
     parser.add_endpoint("listen-peer", "Address for subscriptions of other processes", "", presence::required);
     parser.add_endpoint("advertise-peer", "Address that others reach listen-peer at", "", presence::optional);
     parser.add_number("packet-threads", "Packet threads", 1, 1, max_packet_threads);
@@ -52,14 +70,22 @@
         core::milliseconds(0), max_drain_limit);
 }
 
-balancer_process::balancer_process(frontends::process_host& host, const settings::setting_values& values)
+balancer_process::balancer_process(
+    frontends::process_host& host, const settings::settings_source& source, const frontends::front_end& world)
     : host_(host)
-    , peer_endpoint_(values.endpoint(values.is_empty("advertise-peer") ? "listen-peer" : "advertise-peer"))
-    , stop_delay_(values.duration("stop-delay-ms"))
+    , peer_endpoint_(
+          source.initial().endpoint(source.initial().is_empty("advertise-peer") ? "listen-peer" : "advertise-peer"))
+    , stop_delay_(source.initial().duration("stop-delay-ms"))
 {
+    const auto& values = source.initial();
     create_control_connections(values);
-    create_packet_threads(values);
-    create_gateway(values);
+    create_packet_threads(values, world);
+    create_health_server(values, world);
+    if (!values.is_empty("listen-requests"))
+        create_gateway(values);
+    host_.watch_settings(source, [this](const settings::setting_values& next) {
+        contacts_->set_listed(frontends::peer_endpoints(next, "control"));
+    });
 }
 
 void balancer_process::create_control_connections(const settings::setting_values& values)
@@ -67,8 +93,8 @@
     auto* const meter = &host_.control_traffic();
     const auto& identity = host_.identity();
     subscriber_ = std::make_unique<frontends::state_subscriber>(
-        frontends::subscriber_settings{identity.name, values.endpoints("control"), values.endpoints("peers"),
-            peer_endpoint_, identity.source_address, {}},
+        frontends::subscriber_settings{identity.name, frontends::peer_endpoints(values, "control"),
+            values.endpoints("peers"), peer_endpoint_, identity.source_address, {}},
         host_.counters(), meter, nullptr);
     subscriptions_ = std::make_unique<frontends::subscription_server>(
         router_, host_.counters(), [this] { return subscriber_->age(); }, dissemination::default_max_subscribers,
@@ -77,20 +103,60 @@
     subscriber_->on_keep_alive([this] { subscriptions_->send_keep_alives(); });
     peer_server_ = transport::http2_server::create(values.endpoint("listen-peer"), {}, router_, meter, host_.parent());
     heartbeats_ = std::make_unique<frontends::heartbeat_sender>(
-        values.endpoints("control"), identity.source_address, host_.counters(), meter,
+        frontends::peer_endpoints(values, "control"), identity.source_address, host_.counters(), meter,
         [this] { return make_heartbeat(); }, [this](const auto& answer) { refresh(answer.latest); }, nullptr);
+    contacts_ = std::make_unique<frontends::control_contacts>(
+        frontends::peer_endpoints(values, "control"), *heartbeats_, *subscriber_);
 }
 
-void balancer_process::create_packet_threads(const settings::setting_values& values)
+void balancer_process::create_notice_socket(const core::endpoint& address)
 {
+    notices_ = std::make_unique<QUdpSocket>();
+    if (!notices_->bind(QHostAddress(address.address), address.port))
+        throw core::system_failure("cannot listen on " + to_string(address));
+    QObject::connect(notices_.get(), &QUdpSocket::readyRead, notices_.get(), [this] { read_notices(); });
+}
+
+void balancer_process::read_notices()
+{
+    while (notices_->hasPendingDatagrams()) {
+        const auto bytes = notices_->receiveDatagram().data().toStdString();
+        try {
+            const auto parts = routing::wire::split_datagram(bytes);
+            if (parts.kind == routing::wire::datagram_kind::notice)
+                refresh(routing::wire::decode_version_notice(parts.message).latest);
+        } catch (const core::malformed_message&) {
+            host_.counters().add("forwarder_dropped_malformed", 1);
+        }
+    }
+}
+
+void balancer_process::create_health_server(const settings::setting_values& values, const frontends::front_end& world)
+{
+    if (values.is_empty("listen-health"))
+        return;
+    health_server_ = std::make_unique<QHttpServer>();
+    world.serve_health(*health_server_, [this] { return check_health(); });
+    frontends::listen(*health_server_, values.endpoint("listen-health"));
+}
+
+void balancer_process::create_packet_threads(const settings::setting_values& values, const frontends::front_end& world)
+{
+    const auto format =
+        world.callers(values.is_empty("return-packets") ? core::endpoint{} : values.endpoint("return-packets"));
+    std::optional<core::endpoint> notices;
+    if (!values.is_empty("listen-notices")) {
+        notices = values.endpoint("listen-notices");
+        create_notice_socket(*notices);
+    }
     const auto threads = values.number("packet-threads");
     const auto sharing = threads > 1 ? transport::address_sharing::shared : transport::address_sharing::exclusive;
     for (std::uint64_t i = 0; i < threads; ++i) {
         auto socket = transport::udp_socket::create(values.endpoint("listen-packets"), sharing);
-        forwarders_.push_back(
-            std::make_unique<frontends::packet_forwarder>("packet_forwarder_" + std::to_string(i), std::move(socket),
-                routing::create(*routing::find_router(values.text("router"))), forwarding_, host_.counters(),
-                *host_.parent(), [this](const core::version& latest, const core::endpoint&) { refresh(latest); }));
+        forwarders_.push_back(std::make_unique<frontends::packet_forwarder>("packet_forwarder_" + std::to_string(i),
+            std::move(socket), notices, format, routing::create(*routing::find_router(values.text("router"))),
+            forwarding_, host_.counters(), *host_.parent(),
+            [this](const core::version& latest, const core::endpoint&) { refresh(latest); }));
     }
 }
 
@@ -126,11 +192,12 @@
 
 void balancer_process::take_state(const dissemination::system_state_snapshot& state)
 {
-    const auto routes =
-        routing::routing_table::create(state->applied, frontends::routing_input(*state), routes_.load());
+    const auto routes = routing::routing_table::create(
+        state->applied, frontends::routing_input(*state), routes_.load(), frontends::flow_routes(state->configuration));
     routes_.publish(routes);
     forwarding_.publish(frontends::forwarding_snapshot::create(routes, forwarding_.load(), transport::read_clock()));
     states_.publish(state);
+    contacts_->take(state->membership);
     subscriptions_->publish(state);
 }
 
@@ -175,6 +242,8 @@
 
 void balancer_process::drain_requests()
 {
+    if (gateway_ == nullptr)
+        return host_.finish();
     const auto finish = [this] {
         QMetaObject::invokeMethod(
             host_.parent(), [this] { host_.finish(); }, Qt::QueuedConnection);
