--- a/services/balancer/balancer_process.h
+++ b/services/balancer/balancer_process.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "ibisdyke/core/snapshot_publisher.h"
+#include "ibisdyke/frontends/control_contacts.h"
 #include "ibisdyke/frontends/forwarding_snapshot.h"
+#include "ibisdyke/frontends/front_end.h"
 #include "ibisdyke/frontends/heartbeat_sender.h"
 #include "ibisdyke/frontends/packet_forwarder.h"
 #include "ibisdyke/frontends/process_host.h"
@@ -12,7 +14,8 @@
 #include "ibisdyke/settings/settings_parser.h"
 #include "ibisdyke/transport/rpc_router.h"
 
-#include <QTimer>
+#include <QHttpServer>
+#include <QUdpSocket>
 
 #include <memory>
 #include <vector>
@@ -25,13 +28,17 @@
 public:
     static void declare_settings(settings::settings_parser& parser);
 
-    balancer_process(frontends::process_host& host, const settings::setting_values& values);
+    balancer_process(
+        frontends::process_host& host, const settings::settings_source& source, const frontends::front_end& world);
 
     /// Returns when the process is to end.
     frontends::exit_code run();
 
 private:
-    void create_packet_threads(const settings::setting_values& values);
+    void create_packet_threads(const settings::setting_values& values, const frontends::front_end& world);
+    void create_health_server(const settings::setting_values& values, const frontends::front_end& world);
+    void create_notice_socket(const core::endpoint& address);
+    void read_notices();
     void create_gateway(const settings::setting_values& values);
     void create_control_connections(const settings::setting_values& values);
     void take_state(const dissemination::system_state_snapshot& state);
@@ -55,9 +62,12 @@
     std::unique_ptr<frontends::state_subscriber> subscriber_;
     std::unique_ptr<frontends::subscription_server> subscriptions_;
     std::unique_ptr<frontends::heartbeat_sender> heartbeats_;
+    std::unique_ptr<frontends::control_contacts> contacts_;
+    /// Null when agents send version notices to the packet sockets.
+    std::unique_ptr<QUdpSocket> notices_;
     std::vector<std::unique_ptr<frontends::packet_forwarder>> forwarders_;
-    /// Ages of chains depend on time as well as on the state.
-    QTimer table_timer_;
+    std::unique_ptr<QHttpServer> health_server_;
+    /// Null when the balancer takes no requests.
     frontends::request_gateway* gateway_ = nullptr;
     /// Last, so that its thread ends before what it reads is destroyed.
     std::unique_ptr<frontends::request_thread> request_thread_;
--- /dev/null
+++ b/services/common/front_ends.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "ibisdyke/frontends/front_end.h"
+#include "ibisdyke/settings/settings_parser.h"
+
+#include <memory>
+
+namespace ibisdyke {
+
+/// Declares --front-end.
+void declare_front_end(settings::settings_parser& parser);
+
+/// Returns the front end that --front-end names.
+std::unique_ptr<frontends::front_end> create_front_end(const settings::setting_values& values);
+
+} // namespace ibisdyke
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -4,6 +4,7 @@
 #include "ibisdyke/configuration/token_digest.h"
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/parse_number.h"
+#include "ibisdyke/frontends/control_settings.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/replication/recovery.h"
 #include "ibisdyke/transport/clock.h"
@@ -18,12 +19,13 @@
 
 using settings::presence;
 
-constexpr std::uint64_t max_control_id = 1'000'000;
+constexpr std::uint64_t max_control_id = 0xffff'ffff;
 constexpr std::size_t max_members = 9;
 constexpr core::milliseconds default_drain_limit{5000};
 constexpr core::milliseconds max_drain_limit{60'000};
 constexpr core::milliseconds hand_over_limit{1000};
 constexpr core::milliseconds bootstrap_retry{100};
+constexpr const char* form_yes = "yes";
 constexpr const char* bootstrap_command = "bootstrap-token";
 
 /// Parses "ID=ENDPOINT" or "ID=ENDPOINT/ADMIN"; each member reports its own administration address anyway.
@@ -63,17 +65,49 @@
     return result;
 }
 
+/// The number of a process in a group that is formed out of seeds. Members have one address each.
+core::control_id id_of(const core::endpoint& peer)
+{
+    return core::control_id(peer.address);
+}
+
+core::endpoint own_peer_endpoint(const settings::setting_values& values)
+{
+    return values.endpoint(values.is_empty("advertise-peer") ? "listen-peer" : "advertise-peer");
+}
+
+/// Returns the seeds as the members of a new group, or nobody when this process is not to form one.
+std::vector<replication::member> seed_members(const settings::setting_values& values)
+{
+    const auto own = own_peer_endpoint(values);
+    const auto seeds = frontends::peer_endpoints(values, "seeds");
+    const bool is_seed = std::find(seeds.begin(), seeds.end(), own) != seeds.end();
+    if (values.text("form-group") != form_yes || !is_seed)
+        return {};
+    std::vector<replication::member> result;
+    for (const auto& it : seeds) {
+        replication::member member;
+        member.id = id_of(it);
+        member.peer_endpoint = it;
+        result.push_back(member);
+    }
+    return result;
+}
+
 frontends::replicated_control_group_options group_options(
     const settings::setting_values& values, std::uint32_t source_address)
 {
     frontends::replicated_control_group_options result;
     result.source_address = source_address;
     result.snapshot_entries = values.number("snapshot-entries");
-    result.raft.self = core::control_id(values.number("id"));
-    result.raft.initial_members = parse_members(values.text("peers"));
+    const auto own_peer = own_peer_endpoint(values);
+    const bool has_seeds = !values.is_empty("seeds");
+    if (!has_seeds && values.number("id") == 0)
+        throw core::invalid_input("--id", "0", "a number of at least 1 for a group without --seeds");
+    result.raft.self = has_seeds ? id_of(own_peer) : core::control_id(values.number("id"));
+    result.raft.initial_members = has_seeds ? seed_members(values) : parse_members(values.text("peers"));
     result.raft.admin_endpoint =
         values.endpoint(values.is_empty("advertise-admin") ? "listen-admin" : "advertise-admin");
-    const auto own_peer = values.endpoint(values.is_empty("advertise-peer") ? "listen-peer" : "advertise-peer");
     for (auto& it : result.raft.initial_members) {
         if (it.id == result.raft.self)
             it.peer_endpoint = own_peer;
@@ -104,10 +138,20 @@
 {
     using namespace std::chrono_literals;
     frontends::process_host::declare_settings(parser);
-    parser.add_number("id", "Number of this process in the control group", 0, 1, max_control_id);
+    parser.add_number("id", "Number of this process in the control group; 0 only with --seeds", 0, 0, max_control_id);
     parser.add_text("data", "Data folder", "", presence::required);
     parser.add_text("peers", "Members of the group as ID=ENDPOINT,...; empty for a process that is added to a group",
         "", presence::optional);
+    frontends::declare_peer_port(parser);
+    parser.add_endpoints("seeds",
+        "Some control processes, in place of --id and --peers: they form the group, which then takes others in",
+        presence::optional);
+    parser.add_choice("form-group",
+        "Whether the seeds may form a new group: only when the system starts for the first "
+        "time",
+        {"no", form_yes});
+    parser.add_endpoint(
+        "listen-operators", "Address for operators' route plans, where the front end has one", "", presence::optional);
     parser.add_endpoint("listen-peer", "Address for other processes (HTTP/2)", "", presence::required);
     parser.add_endpoint(
         "advertise-peer", "Address for other processes as they reach it, if it differs", "", presence::optional);
@@ -125,11 +169,12 @@
         "drain-limit-ms", "Time for open calls at a graceful stop", default_drain_limit, 0ms, max_drain_limit);
 }
 
-control_process::control_process(const settings::setting_values& values)
-    : host_(frontends::process_host::create("control", values))
-    , bootstrap_token_(values.text("bootstrap-token"))
-    , drain_limit_(values.duration("drain-limit-ms"))
+control_process::control_process(const settings::settings_source& source, const frontends::front_end& world)
+    : host_(frontends::process_host::create("control", source.initial()))
+    , bootstrap_token_(source.initial().text("bootstrap-token"))
+    , drain_limit_(source.initial().duration("drain-limit-ms"))
 {
+    const auto& values = source.initial();
     const auto options = group_options(values, host_->identity().source_address);
     auto* const meter = &host_->control_traffic();
     storage_ = frontends::file_log_storage::create(values.text("data"));
@@ -150,6 +195,13 @@
     leases_ = std::make_unique<frontends::lease_manager>(router_, *group_, host_->counters(),
         host_->identity().source_address, meter, accounting::decode_usage_report, membership::lease_limits{}, nullptr);
     api_ = std::make_unique<frontends::admin_api>(*group_, *leases_, host_->counters(), nullptr);
+    create_operators_server(values, world);
+    if (!values.is_empty("seeds"))
+        create_upkeep(values, options.raft);
+    host_->watch_settings(source, [this](const settings::setting_values& next) {
+        if (upkeep_)
+            upkeep_->set_seeds(frontends::peer_endpoints(next, "seeds"));
+    });
     server_.reset(transport::http2_server::create(
         values.endpoint("listen-peer"), transport::http2_limits{}, router_, meter, nullptr));
     QObject::connect(&bootstrap_timer_, &QTimer::timeout, host_->parent(), [this] { ensure_bootstrap_token(); });
@@ -157,6 +209,28 @@
         bootstrap_timer_.start(bootstrap_retry);
 }
 
+void control_process::create_upkeep(const settings::setting_values& values, const replication::raft_options& options)
+{
+    replication::member self;
+    self.id = options.self;
+    self.disk = storage_->disk();
+    self.peer_endpoint = own_peer_endpoint(values);
+    self.admin_endpoint = options.admin_endpoint;
+    upkeep_ = std::make_unique<frontends::group_upkeep>(*group_, self, frontends::peer_endpoints(values, "seeds"),
+        router_, host_->counters(), host_->identity().source_address, &host_->control_traffic(),
+        replication::group_limits{}, nullptr);
+}
+
+void control_process::create_operators_server(const settings::setting_values& values, const frontends::front_end& world)
+{
+    plans_ = std::make_unique<frontends::route_plan_service>(*group_, host_->counters(), nullptr);
+    if (values.is_empty("listen-operators"))
+        return;
+    operators_server_ = std::make_unique<QHttpServer>();
+    world.serve_operators(*operators_server_, *plans_);
+    frontends::listen(*operators_server_, values.endpoint("listen-operators"));
+}
+
 frontends::exit_code control_process::run()
 {
     return host_->run(
--- a/services/control/control_process.h
+++ b/services/control/control_process.h
@@ -2,13 +2,17 @@
 
 #include "ibisdyke/frontends/admin_api.h"
 #include "ibisdyke/frontends/file_log_storage.h"
+#include "ibisdyke/frontends/front_end.h"
+#include "ibisdyke/frontends/group_upkeep.h"
 #include "ibisdyke/frontends/lease_manager.h"
 #include "ibisdyke/frontends/process_host.h"
 #include "ibisdyke/frontends/replicated_control_group.h"
+#include "ibisdyke/frontends/route_plan_service.h"
 #include "ibisdyke/frontends/subscription_server.h"
 #include "ibisdyke/transport/http2_server.h"
 #include "ibisdyke/transport/rpc_router.h"
 
+#include <QHttpServer>
 #include <QTimer>
 
 #include <memory>
@@ -23,12 +27,14 @@
 
     /// Throws core::invalid_input for a bad setting and core::system_failure when the data folder or an address cannot
     /// be used.
-    explicit control_process(const settings::setting_values& values);
+    control_process(const settings::settings_source& source, const frontends::front_end& world);
 
     /// Runs until a signal ends it.
     frontends::exit_code run();
 
 private:
+    void create_upkeep(const settings::setting_values& values, const replication::raft_options& options);
+    void create_operators_server(const settings::setting_values& values, const frontends::front_end& world);
     void ensure_bootstrap_token();
     void stop();
     frontends::health check_health() const;
@@ -42,6 +48,10 @@
     std::unique_ptr<frontends::subscription_server> subscriptions_;
     std::unique_ptr<frontends::lease_manager> leases_;
     std::unique_ptr<frontends::admin_api> api_;
+    std::unique_ptr<frontends::route_plan_service> plans_;
+    /// Null for a group whose members are all named by its settings.
+    std::unique_ptr<frontends::group_upkeep> upkeep_;
+    std::unique_ptr<QHttpServer> operators_server_;
     QTimer bootstrap_timer_;
     /// Destroyed first: its requests use all of the above.
     std::unique_ptr<transport::http2_server> server_;
--- a/services/control/main.cpp
+++ b/services/control/main.cpp
@@ -1,10 +1,15 @@
 #include "control_process.h"
 
+#include "common/front_ends.h"
+
 int main(int argc, char** argv)
 {
     using namespace ibisdyke;
     settings::settings_parser parser("control", "ibisdyke control: replicated configuration and administration API");
+    declare_front_end(parser);
     control::control_process::declare_settings(parser);
-    return frontends::run_program(
-        parser, argc, argv, [](const auto& values) { return control::control_process(values).run(); });
+    return frontends::run_program(parser, argc, argv, [](const settings::settings_source& source) {
+        const auto world = create_front_end(source.initial());
+        return control::control_process(source, *world).run();
+    });
 }
--- a/utilities/ibisdykectl/commands.cpp
+++ b/utilities/ibisdykectl/commands.cpp
@@ -40,6 +40,11 @@
     return set_domain(session, "out");
 }
 
+ctl_exit_code domain_close(command_session& session)
+{
+    return set_domain(session, "closed");
+}
+
 ctl_exit_code domain_in(command_session& session)
 {
     return set_domain(session, "in");
@@ -191,6 +196,7 @@
         {"service", "put", "FILE", 1, &service_put},
         {"service", "remove", "NAME", 1, &service_remove},
         {"domain", "out", "NAME", 1, &domain_out},
+        {"domain", "close", "NAME", 1, &domain_close},
         {"domain", "in", "NAME", 1, &domain_in},
         {"domain", "status", "", 0, &domain_status},
         {"upstream", "list", "", 0, &upstream_list},
--- a/utilities/measure/main.cpp
+++ b/utilities/measure/main.cpp
@@ -54,7 +54,7 @@
     // All traffic is on loopback; asking the system for a proxy starts a thread for each look-up.
     QNetworkProxyFactory::setUseSystemConfiguration(false);
     bool cancelled = false;
-    const transport::signal_watcher signals([&] { cancelled = true; }, [] {}, nullptr);
+    const transport::signal_watcher signals([&] { cancelled = true; }, [] {}, [] {}, nullptr);
     const measure::experiment_catalogue catalogue(values.text("examples"));
     if (values.number("list") == 1) {
         for (const auto& it : catalogue.names())
@@ -93,5 +93,6 @@
     settings::settings_parser parser(
         "measure", "Runs the whole system as processes and compares outcomes with a trace");
     declare_settings(parser);
-    return frontends::run_program(parser, argc, argv, [&](const auto& values) { return run(values, argc, argv); });
+    return frontends::run_program(
+        parser, argc, argv, [&](const auto& source) { return run(source.initial(), argc, argv); });
 }
