replication: Show the committed state at a restart before a leader is known

Cause: after a fault of all processes, agents and balancers got their first state 1.3 s after the control processes had started: an election (0.4 s) had to end first, first feeds and connections that met a process that was only starting hung for 1 s, and an agent learned its id with a heartbeat answer, up to 0.5 s after balancers used it.

Change: the commit index is recorded with the next write, or after 300 ms, and a restarted member applies its log up to it; the first feeds are given up after 200 ms, doubling up to 1 s, connections after 400 ms; an agent takes its id from its record in the state.

Ruled out: the agents' first announcements (they come 5 ms after the start).

--- a/libraries/ibisdyke/dissemination/feed_monitor.cpp
+++ b/libraries/ibisdyke/dissemination/feed_monitor.cpp
@@ -4,6 +4,15 @@
 
 namespace ibisdyke::dissemination {
 
+core::milliseconds first_message_limit(const feed_limits& limits, std::size_t failures)
+{
+    // Three feeds, as many as there are control processes at least, before the time is doubled.
+    constexpr std::size_t tries_per_step = 3;
+    constexpr std::size_t max_doublings = 8;
+    const auto doublings = std::min(failures / tries_per_step, max_doublings);
+    return std::min(limits.first_try * (std::int64_t{1} << doublings), limits.first_message);
+}
+
 void feed_monitor::on_version(const core::version& version, core::time_point now)
 {
     last_message_ = now;
--- a/libraries/ibisdyke/dissemination/feed_monitor.h
+++ b/libraries/ibisdyke/dissemination/feed_monitor.h
@@ -4,6 +4,7 @@
 #include "ibisdyke/core/version.h"
 #include "ibisdyke/dissemination/messages.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -11,8 +12,10 @@
 
 /// The times of a subscription.
 struct feed_limits {
-    /// A feed that sent nothing since it was opened is given up after this time.
+    /// A feed that sent nothing since it was opened is given up after this time at most; see first_message_limit().
     core::milliseconds first_message{1000};
+    /// The same for the first feed of a process.
+    core::milliseconds first_try{200};
     /// A feed that has been silent for this long is given up. Keep-alives come each second.
     core::milliseconds silence{1800};
     /// A feed that no control process in touch with a leader has vouched for within this time is not current.
@@ -38,6 +41,11 @@
     behind,
 };
 
+/// Returns how long a subscriber waits for the first message of a feed after it has given up `failures` feeds in a row.
+/// Short at first, because a process that has just started finds others that are only starting, and their connections
+/// hang; longer later, so that a slow source is not left for ever.
+core::milliseconds first_message_limit(const feed_limits& limits, std::size_t failures);
+
 /// Judges one feed by the messages that arrive on it.
 class feed_monitor {
 public:
--- a/libraries/ibisdyke/frontends/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/file_log_storage.cpp
@@ -224,7 +224,7 @@
     ballot_ = state.ballot;
     // After a failed sync the page cache may show records that are not on disk. Writing them again and syncing makes
     // what this member claims to hold true.
-    write_log({ballot_, nullptr, state.entries});
+    write_log({ballot_, nullptr, state.entries, state.committed});
     return state;
 }
 
@@ -254,6 +254,7 @@
         const auto batch = replication::wire::decode_write_batch(it.payload);
         if (batch.ballot)
             state.ballot = *batch.ballot;
+        state.committed = std::max(state.committed, batch.committed);
         for (const auto& e : batch.entries) {
             while (!state.entries.empty() && state.entries.back().at.index >= e.at.index)
                 state.entries.pop_back();
@@ -274,7 +275,7 @@
         ballot_ = *batch.ballot;
     if (batch.base) {
         replace_file(snapshot_name, frame(replication::wire::encode(*batch.base)));
-        write_log({ballot_, nullptr, batch.entries});
+        write_log({ballot_, nullptr, batch.entries, batch.committed});
     } else {
         append(batch);
     }
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -22,6 +22,9 @@
 /// A message is worth nothing once the leader has sent many newer ones.
 constexpr core::milliseconds call_timeout{1000};
 
+/// A commit that no further write follows is recorded after this time, so that a burst of changes costs one write.
+constexpr core::milliseconds commit_record_delay{300};
+
 const char* role_name(replication::raft_role it)
 {
     switch (it) {
@@ -60,11 +63,20 @@
     }
     node_ = std::make_unique<replication::raft_node>(
         options_.raft, stored, QRandomGenerator::system()->generate64(), transport::read_clock());
+    for (auto index = applied_.index + 1; index <= node_->committed(); ++index) {
+        const auto& known = node_->log().at(index);
+        machine_.apply(known);
+        applied_ = known.at;
+        applied_bytes_ += known.command.size();
+    }
+    recorded_commit_ = node_->committed();
     router.add_call(
         message_path, [self = QPointer<replicated_control_group>(this)](const auto& body, const auto& answer) {
             if (self)
                 self->on_call(body, answer);
         });
+    commit_timer_.setSingleShot(true);
+    connect(&commit_timer_, &QTimer::timeout, this, &replicated_control_group::record_commit);
     timer_.setSingleShot(true);
     timer_.setTimerType(Qt::PreciseTimer);
     connect(&timer_, &QTimer::timeout, this, &replicated_control_group::on_timer);
@@ -249,6 +261,8 @@
     compact();
     note_role();
     schedule();
+    if (node_->committed() > recorded_commit_ && !commit_timer_.isActive())
+        commit_timer_.start(commit_record_delay);
 }
 
 void replicated_control_group::persist(const std::vector<work>& batch)
@@ -263,6 +277,7 @@
         if (writes.base)
             joined.base = writes.base;
         joined.entries.insert(joined.entries.end(), writes.entries.begin(), writes.entries.end());
+        joined.committed = std::max(joined.committed, writes.committed);
         if (writes.base)
             write(std::exchange(joined, {}));
     }
@@ -273,12 +288,24 @@
 {
     if (batch.empty())
         return;
+    auto marked = batch;
+    marked.committed = node_->committed();
     const auto begin = transport::read_clock();
-    storage_.persist(batch);
+    storage_.persist(marked);
+    recorded_commit_ = marked.committed;
     counters_.add("log_syncs", 1);
     counters_.sample("log_sync_ms", std::chrono::duration<double, std::milli>(transport::read_clock() - begin).count());
 }
 
+void replicated_control_group::record_commit()
+{
+    if (failed_ || node_->committed() <= recorded_commit_)
+        return;
+    replication::output result;
+    result.writes.committed = node_->committed();
+    enqueue({std::move(result), std::nullopt, nullptr});
+}
+
 void replicated_control_group::carry_out(const work& it)
 {
     bool answered = it.answer == nullptr;
--- a/libraries/ibisdyke/frontends/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/replicated_control_group.h
@@ -112,6 +112,7 @@
     void flush();
     void persist(const std::vector<work>& batch);
     void write(const replication::write_batch& batch);
+    void record_commit();
     void carry_out(const work& it);
     void send(const replication::message& it);
     void apply(const replication::entry& committed);
@@ -137,6 +138,8 @@
     bool flush_scheduled_ = false;
     bool failed_ = false;
     core::version applied_;
+    /// The commit that the storage knows of.
+    std::uint64_t recorded_commit_ = 0;
     /// The size of the records that were applied since the last snapshot.
     std::size_t applied_bytes_ = 0;
     std::map<std::uint64_t, waiting_command> commands_;
@@ -146,6 +149,7 @@
     std::optional<core::control_id> noted_leader_;
     std::uint64_t noted_term_ = 0;
     QTimer timer_;
+    QTimer commit_timer_;
 };
 
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/state_subscriber.cpp
@@ -102,7 +102,9 @@
     counters_.add("subscriptions_opened", 1);
     const auto now = transport::read_clock();
     opened_ = now;
-    feed_ = std::make_shared<feed>(source, settings_.source_address, meter_, settings_.limits, now, this);
+    auto limits = settings_.limits;
+    limits.first_message = dissemination::first_message_limit(limits, failures_);
+    feed_ = std::make_shared<feed>(source, settings_.source_address, meter_, limits, now, this);
     const dissemination::subscribe_request request{applied(), settings_.name, settings_.relay, sources_.avoided(now)};
     const std::weak_ptr<feed> opened = feed_;
     const QPointer<state_subscriber> self(this);
@@ -115,7 +117,7 @@
         [self, opened] {
             if (!self || !self->feed_ || self->feed_ != opened.lock())
                 return;
-            self->sources_.on_failure(self->feed_->client->peer(), transport::read_clock());
+            self->note_failure();
             self->schedule_move();
         });
 }
@@ -147,11 +149,17 @@
         std::visit([this](const auto& it) { on_content(it); }, message);
     } catch (const core::malformed_message&) {
         counters_.add("feed_messages_malformed", 1);
-        sources_.on_failure(feed_->client->peer(), transport::read_clock());
+        note_failure();
         schedule_move();
     }
 }
 
+void state_subscriber::note_failure()
+{
+    ++failures_;
+    sources_.on_failure(feed_->client->peer(), transport::read_clock());
+}
+
 void state_subscriber::on_content(const dissemination::system_state_snapshot& it)
 {
     feed_->monitor.on_version(it->applied, transport::read_clock());
@@ -190,6 +198,7 @@
         feed_->monitor.on_hint(it.latest, now);
     if (it.age >= settings_.limits.max_age)
         return;
+    failures_ = 0;
     sources_.on_success(feed_->client->peer());
     const core::time_point vouched = now - it.age;
     if (vouched_ && vouched <= *vouched_)
@@ -238,7 +247,7 @@
     counters_.add("feeds_left", 1);
     observability::write_log(observability::log_level::info,
         "leaving the feed of " + to_string(feed_->client->peer()) + ": " + to_text(judged));
-    sources_.on_failure(feed_->client->peer(), now);
+    note_failure();
     open_next();
 }
 
--- a/libraries/ibisdyke/frontends/state_subscriber.h
+++ b/libraries/ibisdyke/frontends/state_subscriber.h
@@ -100,6 +100,7 @@
     void open(const core::endpoint& source);
     void close_feed();
     void schedule_move();
+    void note_failure();
     void on_message(const std::string& bytes);
     void on_content(const dissemination::system_state_snapshot& it);
     void on_content(const dissemination::delta& it);
@@ -119,6 +120,8 @@
     /// When control last vouched for the state, on this feed or an earlier one.
     std::optional<core::time_point> vouched_;
     core::time_point opened_;
+    /// Feeds given up since the last one that was current.
+    std::size_t failures_ = 0;
     bool move_scheduled_ = false;
     QTimer timer_;
 };
--- a/libraries/ibisdyke/replication/messages.h
+++ b/libraries/ibisdyke/replication/messages.h
@@ -191,8 +191,11 @@
     snapshot_pointer base;
     /// Each entry replaces the stored ones of its index and above.
     std::vector<entry> entries;
+    /// The index up to which the log is known to be committed; 0 says nothing. Need not be durable at any time: it lets
+    /// a restarted member show its state before it has heard of a leader.
+    std::uint64_t committed = 0;
 
-    bool empty() const { return !ballot && !base && entries.empty(); }
+    bool empty() const { return !ballot && !base && entries.empty() && committed == 0; }
 
     friend bool operator==(const write_batch&, const write_batch&) = default;
 };
@@ -204,6 +207,8 @@
     snapshot_pointer base;
     /// The log after the snapshot.
     std::vector<entry> entries;
+    /// The log is committed up to this index at least.
+    std::uint64_t committed = 0;
 
     friend bool operator==(const stored_state&, const stored_state&) = default;
 };
--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -11,7 +11,7 @@
     , random_(seed)
     , ballot_(stored.ballot)
     , log_(stored)
-    , committed_(log_.start().index)
+    , committed_(std::clamp(stored.committed, log_.start().index, log_.last().index))
 {
     reset_election_timer(now);
 }
--- a/libraries/ibisdyke/replication/tests/simulated_group.cpp
+++ b/libraries/ibisdyke/replication/tests/simulated_group.cpp
@@ -64,6 +64,9 @@
         it.state = std::stoull(it.stored.base->state);
     }
     it.node = std::make_unique<raft_node>(options, it.stored, random_(), now_);
+    // A recorded commit lets the member show its state at once.
+    while (it.applied < it.node->committed())
+        apply(it, it.node->log().at(it.applied + 1));
 }
 
 void simulated_group::crash(core::control_id id)
@@ -263,6 +266,9 @@
         std::erase_if(it.stored.entries, [&](const auto& old) { return old.at.index >= e.at.index; });
         it.stored.entries.push_back(e);
     }
+    // The commit is recorded now and then, with whatever else is written.
+    if (!batch.empty() && chance(0.5))
+        it.stored.committed = std::max(it.stored.committed, it.node->committed());
 }
 
 void simulated_group::apply(simulated_member& it, const entry& committed)
--- a/libraries/ibisdyke/replication/wire/codec.cpp
+++ b/libraries/ibisdyke/replication/wire/codec.cpp
@@ -235,6 +235,7 @@
     }
     for (const auto& e : it.entries)
         fill(*out.add_entries(), e);
+    out.set_committed(it.committed);
     return out.SerializeAsString();
 }
 
@@ -249,6 +250,7 @@
     }
     for (const auto& it : in.entries())
         result.entries.push_back(read(it));
+    result.committed = in.committed();
     return result;
 }
 
--- a/libraries/ibisdyke/transport/http2_client.cpp
+++ b/libraries/ibisdyke/transport/http2_client.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr core::milliseconds connect_timeout{1000};
+/// Longer than a round trip between regions. Short, because the connection to a VM that is only starting hangs until the
+/// system sends the first packet again, after a second.
+constexpr core::milliseconds connect_timeout{400};
 
 } // namespace
 
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -266,6 +266,7 @@
     if (!first_seen_)
         first_seen_ = state->applied;
     start_heartbeats();
+    find_id();
     const auto domain = domain_state();
     const auto before = std::exchange(seen_domain_, domain);
     if (before != configuration::domain_state::in && domain == configuration::domain_state::in)
@@ -282,16 +283,35 @@
     if (answer.result != membership::heartbeat_result::accepted)
         return;
     mean_open_flows_ = answer.mean_open_flows;
-    if (answer.upstream && answer.upstream != id_) {
-        id_ = answer.upstream;
-        restarted_ = is_restart_of(*id_);
-        observability::write_log(observability::log_level::info,
-            std::string(restarted_ ? "resumed" : "announced") + " as upstream " + std::to_string(id_->value()));
-        publish_identity();
-    }
+    if (answer.upstream && answer.upstream != id_)
+        set_id(*answer.upstream);
     publish_facts();
 }
 
+void agent_process::set_id(const core::upstream_id& id)
+{
+    id_ = id;
+    restarted_ = is_restart_of(id);
+    observability::write_log(observability::log_level::info,
+        std::string(restarted_ ? "resumed" : "announced") + " as upstream " + std::to_string(id.value()));
+    publish_identity();
+}
+
+/// Takes the id from the agent's record in the system state, which balancers may use before the answer to a heartbeat
+/// names it. Two live processes cannot have one packet endpoint, so the record is this agent's or an earlier process's
+/// that it follows.
+void agent_process::find_id()
+{
+    const auto state = states_.load();
+    const auto* const service = find_service(*state, service_);
+    for (const auto& [id, it] : state->membership.upstreams) {
+        const bool is_own = service != nullptr && it.service == service->id && it.packet_endpoint == packet_endpoint_
+            && it.name == host_.identity().name;
+        if (is_own && it.state != membership::upstream_state::gone && id != id_)
+            set_id(id);
+    }
+}
+
 bool agent_process::is_restart_of(const core::upstream_id& id) const
 {
     return first_seen_ && core::join_record_index(id) <= first_seen_->index;
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -45,6 +45,8 @@
     void create_request_thread(const settings::setting_values& values);
     void take_state(const dissemination::system_state_snapshot& state);
     void take_answer(const membership::heartbeat_answer& answer);
+    void set_id(const core::upstream_id& id);
+    void find_id();
     bool is_restart_of(const core::upstream_id& id) const;
     const membership::upstream* find_self() const;
     bool is_draining() const;
