routing: Reset a flow at once that no member of its service knows

Cause: after a fault that the upstreams share, callers went on with flows that no upstream held; the first fruitless search dropped the packet and only one 2 s later reset the flow, after most callers' deadlines (1 s). A bound of 0 flows a second in a cold start refused every flow for 2 s.

Change: an agent whose table is vouched for within 2 s resets a flow at once when every reachable member of all services of its route was asked; otherwise as before. A bound of 0 is no bound. A member with a log holds its first election after at most 150 ms.

--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -13,7 +13,10 @@
     , log_(stored)
     , committed_(std::clamp(stored.committed, log_.start().index, log_.last().index))
 {
-    reset_election_timer(now);
+    if (log_.empty())
+        reset_election_timer(now);
+    else
+        set_election_timer(now, options_.heartbeat, std::max(options_.heartbeat, options_.max_first_timeout));
 }
 
 output raft_node::step(const message& received, core::time_point now)
@@ -80,10 +83,14 @@
 }
 
 void raft_node::reset_election_timer(core::time_point now)
+{
+    set_election_timer(now, options_.min_election_timeout, options_.max_election_timeout);
+}
+
+void raft_node::set_election_timer(core::time_point now, core::milliseconds shortest, core::milliseconds longest)
 {
     std::uniform_int_distribution<core::time_point::rep> timeout(
-        core::time_point::duration(options_.min_election_timeout).count(),
-        core::time_point::duration(options_.max_election_timeout).count());
+        core::time_point::duration(shortest).count(), core::time_point::duration(longest).count());
     election_deadline_ = now + core::time_point::duration(timeout(random_));
 }
 
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -28,6 +28,9 @@
     /// A follower that hears nothing from a leader holds an election after a random time between these two.
     core::milliseconds min_election_timeout{150};
     core::milliseconds max_election_timeout{300};
+    /// The first election after a start, when the member has a log, comes after a random time up to this: a living
+    /// leader is heard of sooner, and when all members have restarted every wait adds to the time without control.
+    core::milliseconds max_first_timeout{150};
     std::size_t max_append_bytes = std::size_t{1024} * 1024;
     std::size_t snapshot_chunk_bytes = std::size_t{1024} * 1024;
     /// Log entries kept in memory after a snapshot, so that a member that is a few entries behind needs no snapshot.
@@ -164,6 +167,7 @@
     void maintain_group(core::time_point now, output& result);
     bool heard_from_majority(const group_configuration& group, core::time_point now) const;
     void reset_election_timer(core::time_point now);
+    void set_election_timer(core::time_point now, core::milliseconds shortest, core::milliseconds longest);
     bool is_voter(const group_configuration& group) const;
     bool may_campaign() const;
     bool counts(const member& it) const;
--- a/libraries/ibisdyke/routing/agent_facts.h
+++ b/libraries/ibisdyke/routing/agent_facts.h
@@ -40,6 +40,9 @@
     std::shared_ptr<const routing_table> table;
     /// Whether operators have taken the agent's failure domain out of service.
     bool domain_out = false;
+    /// Until then the table is known to be the newest, or newer by less than it takes to spread a change: a control
+    /// process in touch with the leader has vouched for it.
+    core::time_point current_until{};
     /// The agent has lost its flow table in a restart and adopts flows until then.
     core::time_point recovers_until{};
     /// The upstream returns packets of flows that it does not hold. An agent that has lost its flow table then asks
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -179,6 +179,22 @@
     }
 }
 
+/// Whether every member that may hold a flow was asked and knew nothing of it.
+bool has_asked_all(const packet_header& header, const agent_facts& facts)
+{
+    if (!facts.members)
+        return false;
+    const auto& members = facts.members->service().members;
+    return std::all_of(members.begin(), members.end(), [&header](const auto& it) {
+        if (!it.reachable)
+            return true;
+        const auto known = std::find_if(header.chain.begin(), header.chain.end(),
+            [&it](const auto& candidate) { return candidate.id == it.target.id; });
+        return known != header.chain.end()
+            && was_asked(header, static_cast<std::uint32_t>(known - header.chain.begin()));
+    });
+}
+
 /// Sends the packet to the first candidate, to place a new flow. Returns false when the chain has no candidate.
 bool begin_placement(packet_header& header)
 {
@@ -320,8 +336,9 @@
         // packet again.
         return dropped(packet_reason::unknown_flow);
     } else if (!may_start_flow(packet.kind)) {
+        const bool everywhere = now < facts.current_until && has_asked_all(header, facts);
         if (!search_next_service(packet, header, facts))
-            return unknown(packet, now);
+            return everywhere ? rejected(packet_reason::unknown_flow) : unknown(packet, now);
     } else if (!begin_placement(header)) {
         return rejected(packet_reason::no_capacity);
     }
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -364,7 +364,7 @@
         return result;
     const auto state = states_.load();
     const auto* const service = state ? find_service(*state, service_) : nullptr;
-    if (service == nullptr || service->cold_start == configuration::cold_start_bound{})
+    if (service == nullptr || service->cold_start.flows_per_second <= 0)
         return result;
     result.new_flows_per_second = service->cold_start.flows_per_second;
     result.burst = std::max(1.0, result.new_flows_per_second * burst_share);
@@ -397,6 +397,8 @@
     next.table = routes_.load();
     next.members = next.table->find_service(self->service);
     next.upstream_disowns = upstream_disowns_;
+    if (const auto age = subscriber_->age())
+        next.current_until = transport::read_clock() - *age + dissemination::feed_limits{}.max_age;
     next.domain_out = is_domain_out();
     if (restarted_)
         next.recovers_until = started_ + recovery_window_;
