routing: Place flows by free slots and pending requests

Cause: candidates were chosen by open flows, which count a closed flow for a minute and say nothing of requests.

Change: where the upstream's answers pass the agent it counts the requests that are owed an answer. A candidate with a free slot takes a flow; otherwise the least loaded of the candidates does (the header carries its load). Open flows for the mean leave out those that are being closed.

--- a/libraries/ibisdyke/frontends/packet_format.h
+++ b/libraries/ibisdyke/frontends/packet_format.h
@@ -61,6 +61,9 @@
 
     virtual upstream_packet classify(std::string_view packet) const = 0;
 
+    /// Reads an answer. The flow is the caller's, as parse() returns it for the caller's packets.
+    virtual routing::packet_facts parse_answer(std::string_view packet) const = 0;
+
     /// Returns the tag that a disowned packet had on its way to the upstream.
     virtual std::uint32_t tag_of(std::string_view packet) const = 0;
 
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -191,6 +191,7 @@
     switch (formats_.upstream->classify(packet)) {
     case upstream_packet::answer:
         counters_->answers.add(1);
+        note_answer(packet, now);
         outgoing_.push_back({packet, formats_.callers->caller_endpoint(packet)});
         return;
     case upstream_packet::disowned:
@@ -200,6 +201,12 @@
     }
 }
 
+void packet_receiver::note_answer(std::string_view packet, core::time_point now)
+{
+    const auto facts = formats_.upstream->parse_answer(packet);
+    agent_.note_answer(facts.flow, facts.kind, facts.has_data, now);
+}
+
 void packet_receiver::handle_disowned(std::string_view packet, core::time_point now)
 {
     counters_->disowned.add(1);
@@ -353,6 +360,7 @@
         return;
     agent_.maintain(*facts_, now);
     usage_.open_flows = agent_.flows().open_flows();
+    usage_.active_flows = agent_.flows().active_flows();
     usage_.flow_watermark = agent_.watermark(*facts_, now);
     const std::scoped_lock lock(view_mutex_);
     view_ = usage_;
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -43,6 +43,8 @@
 /// What an agent's packet thread reports in heartbeats. The counts only grow.
 struct packet_receiver_view {
     std::uint64_t open_flows = 0;
+    /// Open flows without those that are being closed.
+    std::uint64_t active_flows = 0;
     core::version flow_watermark;
     /// Usage of the agent's service.
     std::uint64_t flows = 0;
@@ -122,6 +124,7 @@
     void read_upstream();
     void handle_batch(core::time_point now);
     void handle_from_upstream(std::size_t i, core::time_point now);
+    void note_answer(std::string_view packet, core::time_point now);
     void handle_disowned(std::string_view packet, core::time_point now);
     void send_all();
     void handle(std::size_t i, core::time_point now);
--- a/libraries/ibisdyke/frontends/tests/flow_report_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/flow_report_test.cpp
@@ -15,7 +15,7 @@
     CHECK(frontends::with_flows(before, flows).flow_watermark == core::version{1, 10});
     // Before the packet thread has a table, nothing is known.
     CHECK(frontends::with_flows(before, {}).flow_watermark == core::version{});
-    flows.open_flows = 3;
+    flows.active_flows = 3;
     const auto after = frontends::with_flows(before, flows);
     CHECK(after.open_flows == 3);
     CHECK(after.applied == core::version{1, 500});
--- a/libraries/ibisdyke/routing/agent_facts.h
+++ b/libraries/ibisdyke/routing/agent_facts.h
@@ -7,6 +7,7 @@
 #include "ibisdyke/routing/service_chains.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 #include <memory>
 
@@ -20,6 +21,8 @@
     double new_flows_per_second = std::numeric_limits<double>::infinity();
     /// New flows that may begin at once after a pause.
     double burst = std::numeric_limits<double>::infinity();
+    /// Requests that the upstream serves at the same time; 0 when its work is not known.
+    std::uint32_t slots = 0;
     /// Hard bound of the open flows.
     std::size_t max_open_flows = std::numeric_limits<std::size_t>::max();
     /// Mean count of open flows over the active upstreams of the service, from the last heartbeat answer.
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint32_t per_mille = 1000;
+
 packet_decision rejected(packet_reason reason)
 {
     return {packet_action::reject, reason, std::nullopt};
@@ -291,6 +293,8 @@
     const auto* const known = flows_.touch(packet, now);
     if (known == nullptr)
         return std::nullopt;
+    if (!known->redirect && packet.has_data)
+        pending_.begin(packet.flow, now);
     if (!known->redirect)
         return facts.domain_out ? rejected(packet_reason::domain_out)
                                 : packet_decision{packet_action::deliver, packet_reason::none, std::nullopt};
@@ -393,6 +397,7 @@
     if (!names(header, facts))
         return dropped(packet_reason::foreign);
     flows_.erase(packet.flow);
+    pending_.end(packet.flow);
     auto next = header;
     next.asked |= 1U << header.position;
     if (may_start_flow(packet.kind)) {
@@ -450,13 +455,17 @@
         return search_again(packet, std::move(header), facts, now);
     const bool admitted = !facts.domain_out && admits(facts.admission, now);
     const bool last = header.position + 1 >= header.candidates;
-    const bool below_mean = static_cast<double>(flows_.open_flows()) <= facts.admission.mean_open_flows + 1;
-    if (admitted && (last || below_mean)) {
+    const auto own = load(facts.admission);
+    const bool has_room = own.waiting == 0 && own.open_flows <= facts.admission.mean_open_flows + 1;
+    // The last candidate is in its turn only when all others have too much to do.
+    const bool is_best = !header.fallback || own < header.fallback_load;
+    if (admitted && (has_room || (last && is_best))) {
         auto taken = take(packet, header, facts, now);
         if (taken.action == packet_action::place)
             return taken;
-    } else if (admitted) {
+    } else if (admitted && is_best) {
         header.fallback = header.position;
+        header.fallback_load = own;
     }
     if (!last) {
         const auto next = header.position + 1;
@@ -540,6 +549,7 @@
     if (!flows_.insert(packet, {std::nullopt, began}, now))
         return rejected(packet_reason::table_full);
     new_flows_.take(now);
+    pending_.begin(packet.flow, now);
     return {packet_action::place, packet_reason::none, std::nullopt};
 }
 
@@ -579,12 +589,31 @@
     if (facts.domain_out)
         flows_.clear();
     flows_.expire(now);
+    pending_.expire(now);
     if (applied_.empty() || applied_.back().second < facts.applied)
         applied_.emplace_back(now, facts.applied);
     while (applied_.size() > 1 && now - applied_[1].first >= table_lag)
         applied_.pop_front();
 }
 
+void flow_agent::note_answer(const flow_key& flow, packet_kind kind, bool has_data, core::time_point now)
+{
+    if (has_data || kind == packet_kind::closing)
+        pending_.end(flow);
+    if (kind == packet_kind::closing)
+        flows_.close(flow, now);
+}
+
+upstream_load flow_agent::load(const flow_admission& admission) const
+{
+    upstream_load result;
+    result.open_flows = static_cast<std::uint32_t>(flows_.active_flows());
+    const auto busy = static_cast<std::uint32_t>(pending_.size());
+    if (admission.slots > 0 && busy >= admission.slots)
+        result.waiting = (busy - admission.slots + 1) * per_mille / admission.slots;
+    return result;
+}
+
 core::version flow_agent::watermark(const agent_facts& facts, core::time_point now) const
 {
     auto result = facts.applied;
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -6,6 +6,7 @@
 #include "ibisdyke/routing/flow_table.h"
 #include "ibisdyke/routing/messages.h"
 #include "ibisdyke/routing/packet_facts.h"
+#include "ibisdyke/routing/pending_requests.h"
 #include "ibisdyke/routing/rate_limiter.h"
 #include "ibisdyke/routing/unknown_flows.h"
 
@@ -90,6 +91,9 @@
     /// had sent the packet to this agent. Nothing when the table has no route for it.
     static std::optional<packet_header> make_header(const packet_facts& packet, const agent_facts& facts);
 
+    /// Notes a packet of the upstream to a caller; `flow` is the caller's.
+    void note_answer(const flow_key& flow, packet_kind kind, bool has_data, core::time_point now);
+
     /// Forgets flows that have been idle for too long, and all flows when the failure domain is out: they are
     /// abandoned.
     void maintain(const agent_facts& facts, core::time_point now);
@@ -97,6 +101,9 @@
     /// Removes what is known of a flow.
     void forget(const flow_key& flow) { flows_.erase(flow); }
 
+    /// Returns what the upstream has to do.
+    upstream_load load(const flow_admission& admission) const;
+
     /// Returns a version that no open flow is older than, and no flow will be that begins from now on: flows are placed
     /// by tables that are up to table_lag old. After a restart, and for table_lag after the recovery window, it is the
     /// oldest version at which a flow that is yet to be adopted can have begun.
@@ -144,6 +151,7 @@
     static constexpr std::chrono::seconds table_lag{10};
 
     flow_table flows_;
+    pending_requests pending_;
     unknown_flows unknown_;
     /// The newest version in a header, and since when it has been newer than the applied one.
     core::version newest_seen_;
--- a/libraries/ibisdyke/routing/flow_table.cpp
+++ b/libraries/ibisdyke/routing/flow_table.cpp
@@ -59,6 +59,15 @@
         remove(it->second);
 }
 
+void flow_table::close(const flow_key& flow, core::time_point now)
+{
+    const auto it = index_.find(flow);
+    if (it == index_.end())
+        return;
+    unlink(it->second);
+    link(it->second, stage::closing, now);
+}
+
 void flow_table::clear()
 {
     index_.clear();
@@ -66,6 +75,7 @@
     free_.clear();
     lists_ = {};
     open_flows_ = 0;
+    active_flows_ = 0;
     began_.clear();
 }
 
@@ -129,11 +139,15 @@
     else
         nodes_[target.last].next = i;
     target.last = i;
+    if (is_active(it))
+        ++active_flows_;
 }
 
 void flow_table::unlink(std::uint32_t i)
 {
     const auto& it = nodes_[i];
+    if (is_active(it))
+        --active_flows_;
     auto& from = list_of(it.in);
     if (it.previous == none)
         from.first = it.next;
--- a/libraries/ibisdyke/routing/flow_table.h
+++ b/libraries/ibisdyke/routing/flow_table.h
@@ -65,6 +65,12 @@
     /// Returns the number of flows, without redirect entries.
     std::size_t open_flows() const { return open_flows_; }
 
+    /// Returns the number of flows without those that their callers have closed.
+    std::size_t active_flows() const { return active_flows_; }
+
+    /// The upstream has closed the flow or given it up.
+    void close(const flow_key& flow, core::time_point now);
+
     /// Returns the number of flows and redirect entries.
     std::size_t size() const { return index_.size(); }
 
@@ -100,6 +106,7 @@
         std::uint32_t last = none;
     };
 
+    static bool is_active(const node& it) { return !it.entry.redirect && it.in != stage::closing; }
     static stage next_stage(stage present, packet_kind kind);
     core::time_point::duration idle_limit(stage it) const;
     list& list_of(stage it) { return lists_[static_cast<std::size_t>(it)]; }
@@ -115,6 +122,7 @@
     std::vector<std::uint32_t> free_;
     std::array<list, stages> lists_{};
     std::size_t open_flows_ = 0;
+    std::size_t active_flows_ = 0;
     std::uint64_t evictions_ = 0;
     /// How many open flows began at each version.
     std::map<core::version, std::size_t> began_;
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -5,6 +5,7 @@
 #include "ibisdyke/core/version.h"
 #include "ibisdyke/routing/chain.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -40,6 +41,16 @@
     friend bool operator==(const header_member&, const header_member&) = default;
 };
 
+/// How much an upstream has to do, for the choice among candidates. Lower is better.
+struct upstream_load {
+    /// Requests beyond the free slots, in thousandths of the slots: how long the next request waits for one.
+    std::uint32_t waiting = 0;
+    std::uint32_t open_flows = 0;
+
+    friend bool operator==(const upstream_load&, const upstream_load&) = default;
+    friend auto operator<=>(const upstream_load&, const upstream_load&) = default;
+};
+
 /// Precedes each packet on its way from the balancer along the agents of its bucket's chain.
 struct packet_header {
     /// The table of the balancer that sent the packet.
@@ -57,8 +68,10 @@
     std::optional<std::uint32_t> restarted;
     /// How much of that member's recovery window is left, in milliseconds.
     std::uint32_t recovery_left_ms = 0;
-    /// Index in `chain` of a candidate that could take the flow but has more flows than the mean.
+    /// Index in `chain` of the least loaded candidate that could take the flow but has more to do than it should.
     std::optional<std::uint32_t> fallback;
+    /// What that candidate has to do.
+    upstream_load fallback_load;
     /// Agents visited so far.
     std::uint32_t hops = 0;
     /// Other services of the flow's route whose members were asked and did not know the flow.
--- a/libraries/ibisdyke/routing/tests/planned_changes_test.cpp
+++ b/libraries/ibisdyke/routing/tests/planned_changes_test.cpp
@@ -131,7 +131,7 @@
         else if (kind == 1)
             toggle_drain();
         else if (kind == 2)
-            hosts.admission[pick_host().target.id] = {true, 2, 1, std::numeric_limits<std::size_t>::max(), 0};
+            hosts.admission[pick_host().target.id] = {.new_flows_per_second = 2, .burst = 1};
         else if (kind == 3)
             hosts.admission.clear();
         else
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -54,6 +54,8 @@
     message.set_restarted(write_position(it.restarted));
     message.set_recovery_left_ms(it.recovery_left_ms);
     message.set_fallback(write_position(it.fallback));
+    message.set_fallback_waiting(it.fallback_load.waiting);
+    message.set_fallback_open_flows(it.fallback_load.open_flows);
     message.set_hops(it.hops);
     message.set_asked(it.asked);
     for (const auto& service : it.searched)
@@ -87,6 +89,7 @@
     result.restarted = read_position(message.restarted());
     result.recovery_left_ms = message.recovery_left_ms();
     result.fallback = read_position(message.fallback());
+    result.fallback_load = {message.fallback_waiting(), message.fallback_open_flows()};
     result.hops = message.hops();
     result.asked = message.asked();
     if (message.searched_size() > static_cast<int>(max_searched_services))
--- a/libraries/ibisdyke/testing/simulated_hosts.h
+++ b/libraries/ibisdyke/testing/simulated_hosts.h
@@ -112,7 +112,7 @@
         std::size_t flows = 0;
         std::size_t eligible = 0;
         for (const auto& it : members) {
-            flows += it.eligible ? agents.at(it.target.id)->flows().open_flows() : 0;
+            flows += it.eligible ? agents.at(it.target.id)->flows().active_flows() : 0;
             eligible += it.eligible ? 1 : 0;
         }
         mean = eligible == 0 ? 0 : static_cast<double>(flows) / static_cast<double>(eligible);
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -355,6 +355,7 @@
     result.accepts_new_flows = !is_draining() && is_upstream_ready(now) && self != nullptr
         && membership::is_eligible(self->state) && domain_state() == configuration::domain_state::in;
     result.mean_open_flows = mean_open_flows_;
+    result.slots = upstream_disowns_ ? slots_ : 0;
     if (requests_ != nullptr) {
         result.new_flows_per_second = requests_->allowed_flows_per_second();
         if (!std::isinf(result.new_flows_per_second))
