routing: Refuse flows whose answers would miss their route's latency target

Cause: after a recovery all callers come back at once, with upstreams that are still cold: queues at the upstreams made every answer late for two seconds.

Change: agents learn the upstream's service time from its answers and refuse a new flow at once when its answer is expected beyond 70% of the route's latency target; copies of SYNs wait while no slot is free, because their callers have missed the target already. Plans carry the target.

--- a/libraries/ibisdyke/configuration/messages.h
+++ b/libraries/ibisdyke/configuration/messages.h
@@ -104,6 +104,8 @@
     std::vector<core::service_id> former;
     /// How long a request may take.
     core::milliseconds request_timeout{0};
+    /// Within what time requests are to be answered; 0 when the route has no such target.
+    core::milliseconds latency_target{0};
     /// The plan that removed the route. The record is kept so that the route's open flows are ended.
     std::optional<std::uint64_t> withdrawn_at;
 
--- a/libraries/ibisdyke/configuration/route_plan.cpp
+++ b/libraries/ibisdyke/configuration/route_plan.cpp
@@ -49,7 +49,7 @@
 bool is_same(const configuration_state& state, const route& known, const planned_route& wanted)
 {
     if (known.withdrawn_at || known.name != wanted.name || known.request_timeout != wanted.request_timeout
-        || known.targets.size() != wanted.targets.size())
+        || known.latency_target != wanted.latency_target || known.targets.size() != wanted.targets.size())
         return false;
     return std::equal(
         known.targets.begin(), known.targets.end(), wanted.targets.begin(), [&state](const auto& a, const auto& b) {
@@ -94,7 +94,7 @@
 
 void put_route(configuration_state& state, const planned_route& it)
 {
-    route next{it.name, it.address, {}, {}, it.request_timeout, std::nullopt};
+    route next{it.name, it.address, {}, {}, it.request_timeout, it.latency_target, std::nullopt};
     for (const auto& target : it.targets) {
         if (const auto* const known = find_service(state, target.service))
             next.targets.push_back({known->id, target.weight});
--- a/libraries/ibisdyke/configuration/route_plan.h
+++ b/libraries/ibisdyke/configuration/route_plan.h
@@ -25,6 +25,8 @@
     std::vector<planned_target> targets;
     /// How long a request may take; never 0.
     core::milliseconds request_timeout{0};
+    /// Within what time requests are to be answered; 0 when the route has no such target.
+    core::milliseconds latency_target{0};
 
     friend bool operator==(const planned_route&, const planned_route&) = default;
 };
--- a/libraries/ibisdyke/configuration/wire/codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/codec.cpp
@@ -79,6 +79,7 @@
             added.mutable_targets()->rbegin()->set_weight(target.weight);
         }
         added.set_request_timeout_ms(static_cast<std::uint64_t>(route.request_timeout.count()));
+        added.set_latency_target_ms(static_cast<std::uint64_t>(route.latency_target.count()));
     }
     for (const auto& address : it.removed)
         to_wire(address, *to.add_removed());
@@ -97,7 +98,8 @@
 
 planned_route read(const PlannedRoute& in)
 {
-    planned_route result{in.name(), from_wire(in.address()), {}, to_duration(in.request_timeout_ms())};
+    planned_route result{in.name(), from_wire(in.address()), {}, to_duration(in.request_timeout_ms()),
+        to_duration(in.latency_target_ms())};
     for (const auto& it : in.targets())
         result.targets.push_back({it.service(), it.weight()});
     return result;
--- a/libraries/ibisdyke/configuration/wire/records.cpp
+++ b/libraries/ibisdyke/configuration/wire/records.cpp
@@ -133,6 +133,7 @@
     for (const auto& it : value.former)
         message.add_former(it.value());
     message.set_request_timeout_ms(to_count(value.request_timeout));
+    message.set_latency_target_ms(to_count(value.latency_target));
     message.set_withdrawn_at(value.withdrawn_at.value_or(0));
 }
 
@@ -146,6 +147,7 @@
     for (const auto it : message.former())
         result.former.emplace_back(it);
     result.request_timeout = to_duration(message.request_timeout_ms());
+    result.latency_target = to_duration(message.latency_target_ms());
     if (message.withdrawn_at() != 0)
         result.withdrawn_at = message.withdrawn_at();
     return result;
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -37,9 +37,11 @@
         , rejected_domain_out(from.find("agent_rejected_domain_out"))
         , rejected_unknown_flow(from.find("agent_rejected_unknown_flow"))
         , dropped_unknown_flow(from.find("agent_dropped_unknown_flow"))
+        , rejected_overloaded(from.find("agent_rejected_overloaded"))
         , rejected_withdrawn(from.find("agent_rejected_withdrawn"))
         , rejected_no_capacity(from.find("agent_rejected_no_capacity"))
         , rejected_table_full(from.find("agent_rejected_table_full"))
+        , dropped_yields(from.find("agent_dropped_yields"))
         , dropped_answer_limit(from.find("agent_dropped_answer_limit"))
         , foreign(from.find("agent_dropped_foreign"))
         , too_many_hops(from.find("agent_dropped_too_many_hops"))
@@ -59,9 +61,11 @@
     observability::counter& rejected_domain_out;
     observability::counter& rejected_unknown_flow;
     observability::counter& dropped_unknown_flow;
+    observability::counter& rejected_overloaded;
     observability::counter& rejected_withdrawn;
     observability::counter& rejected_no_capacity;
     observability::counter& rejected_table_full;
+    observability::counter& dropped_yields;
     observability::counter& dropped_answer_limit;
     observability::counter& foreign;
     observability::counter& too_many_hops;
@@ -296,6 +300,8 @@
         return counters_->too_many_hops.add(1);
     case routing::packet_reason::unknown_flow:
         return counters_->dropped_unknown_flow.add(1);
+    case routing::packet_reason::yields:
+        return counters_->dropped_yields.add(1);
     case routing::packet_reason::answer_limit:
         return counters_->dropped_answer_limit.add(1);
     default:
@@ -309,6 +315,9 @@
     case routing::packet_reason::domain_out:
         counters_->rejected_domain_out.add(1);
         break;
+    case routing::packet_reason::overloaded:
+        counters_->rejected_overloaded.add(1);
+        break;
     case routing::packet_reason::withdrawn:
         counters_->rejected_withdrawn.add(1);
         break;
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -8,7 +8,11 @@
 
 namespace {
 
-constexpr std::uint32_t per_mille = 1000;
+/// The share of a route's latency target that the upstream may take; the rest is for the network and for variation.
+constexpr int upstream_share_percent = 70;
+
+/// A caller gives its attempt up after it has sent this copy of a SYN.
+constexpr std::uint32_t last_copy = 2;
 
 packet_decision rejected(packet_reason reason)
 {
@@ -397,7 +401,7 @@
     if (!names(header, facts))
         return dropped(packet_reason::foreign);
     flows_.erase(packet.flow);
-    pending_.end(packet.flow);
+    pending_.forget(packet.flow);
     auto next = header;
     next.asked |= 1U << header.position;
     if (may_start_flow(packet.kind)) {
@@ -453,9 +457,11 @@
         return unknown(packet, now);
     if (is_outdated(header, facts))
         return search_again(packet, std::move(header), facts, now);
-    const bool admitted = !facts.domain_out && admits(facts.admission, now);
+    pending_.set_slots(facts.admission.slots);
+    const auto refused = refusal(packet, facts, now);
+    const bool admitted = !refused;
     const bool last = header.position + 1 >= header.candidates;
-    const auto own = load(facts.admission);
+    const auto own = load();
     const bool has_room = own.waiting == 0 && own.open_flows <= facts.admission.mean_open_flows + 1;
     // The last candidate is in its turn only when all others have too much to do.
     const bool is_best = !header.fallback || own < header.fallback_load;
@@ -475,7 +481,27 @@
         const auto next = *header.fallback;
         return pass_along(packet, std::move(header), next, search_phase::assign, now);
     }
-    return rejected(packet_reason::no_capacity);
+    if (refused == packet_reason::yields && packet.copies < last_copy)
+        return dropped(packet_reason::yields);
+    return rejected(refused.value_or(packet_reason::no_capacity));
+}
+
+/// Returns why this agent does not take the new flow now, or nothing when it may. Under more load than the upstreams
+/// bear, a long queue makes every answer late: flows are refused as soon as their answers would be, and flows that have
+/// waited already leave the slots to those that can still be answered in time.
+std::optional<packet_reason> flow_agent::refusal(
+    const packet_facts& packet, const agent_facts& facts, core::time_point now)
+{
+    if (facts.domain_out || !admits(facts.admission, now))
+        return packet_reason::no_capacity;
+    if (packet.copies > 0 && pending_.waiting() > 0)
+        return packet_reason::yields;
+    const auto* const route = facts.table ? facts.table->destinations().find(packet.flow) : nullptr;
+    const auto expected = pending_.expected_time();
+    if (route == nullptr || !expected || pending_.waiting() == 0 || route->latency_target == core::milliseconds{0})
+        return std::nullopt;
+    const auto bound = route->latency_target * upstream_share_percent / 100;
+    return *expected > bound ? std::optional(packet_reason::overloaded) : std::nullopt;
 }
 
 packet_decision flow_agent::assign(
@@ -598,20 +624,17 @@
 
 void flow_agent::note_answer(const flow_key& flow, packet_kind kind, bool has_data, core::time_point now)
 {
-    if (has_data || kind == packet_kind::closing)
-        pending_.end(flow);
-    if (kind == packet_kind::closing)
-        flows_.close(flow, now);
+    if (has_data)
+        pending_.answer(flow, now);
+    if (kind != packet_kind::closing)
+        return;
+    pending_.forget(flow);
+    flows_.close(flow, now);
 }
 
-upstream_load flow_agent::load(const flow_admission& admission) const
+upstream_load flow_agent::load() const
 {
-    upstream_load result;
-    result.open_flows = static_cast<std::uint32_t>(flows_.active_flows());
-    const auto busy = static_cast<std::uint32_t>(pending_.size());
-    if (admission.slots > 0 && busy >= admission.slots)
-        result.waiting = (busy - admission.slots + 1) * per_mille / admission.slots;
-    return result;
+    return {pending_.waiting(), static_cast<std::uint32_t>(flows_.active_flows())};
 }
 
 core::version flow_agent::watermark(const agent_facts& facts, core::time_point now) const
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -47,6 +47,10 @@
     table_full,
     /// Operators have removed the route of the flow's destination.
     withdrawn,
+    /// No candidate would answer within the route's latency target.
+    overloaded,
+    /// All candidates are busy, and flows that have waited less go first. The caller sends the packet again.
+    yields,
     /// The packet would be rejected, but answers are being sent at their highest rate.
     answer_limit,
 };
@@ -102,7 +106,7 @@
     void forget(const flow_key& flow) { flows_.erase(flow); }
 
     /// Returns what the upstream has to do.
-    upstream_load load(const flow_admission& admission) const;
+    upstream_load load() const;
 
     /// Returns a version that no open flow is older than, and no flow will be that begins from now on: flows are placed
     /// by tables that are up to table_lag old. After a restart, and for table_lag after the recovery window, it is the
@@ -122,6 +126,8 @@
     packet_decision finish_search(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static bool search_next_service(const packet_facts& packet, packet_header& header, const agent_facts& facts);
+    std::optional<packet_reason> refusal(
+        const packet_facts& packet, const agent_facts& facts, core::time_point now);
     packet_decision place_disowned(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static packet_decision misdirected(
--- a/libraries/ibisdyke/routing/flow_route.h
+++ b/libraries/ibisdyke/routing/flow_route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/core/ids.h"
+#include "ibisdyke/core/time.h"
 #include "ibisdyke/routing/member.h"
 
 #include <cstdint>
@@ -24,6 +25,8 @@
     std::vector<route_target> targets;
     /// Services that the route named before and that may still hold flows of it.
     std::vector<core::service_id> former;
+    /// Within what time requests are to be answered; 0 when the route has no such target.
+    core::milliseconds latency_target{0};
 
     friend bool operator==(const flow_route&, const flow_route&) = default;
 };
--- a/libraries/ibisdyke/routing/packet_facts.h
+++ b/libraries/ibisdyke/routing/packet_facts.h
@@ -27,6 +27,8 @@
     std::uint32_t size_bytes = 0;
     /// The packet is known to be the first of its flow, so that no member can know the flow yet.
     bool is_first = false;
+    /// How often the caller has sent a SYN before, where its format tells: the caller has waited as long.
+    std::uint32_t copies = 0;
     /// The packet carries data, not only an acknowledgement.
     bool has_data = false;
 
--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -2,25 +2,67 @@
 
 namespace ibisdyke::routing {
 
+namespace {
+
+constexpr std::uint32_t per_mille = 1000;
+
+/// The share of a new sample in the moving average of service times.
+constexpr int sample_divisor = 16;
+
+/// Returns how long a request takes when `waiting` thousandths of the slots are before it.
+std::chrono::nanoseconds with_wait(std::chrono::nanoseconds service_time, std::uint32_t waiting)
+{
+    return service_time * (per_mille + waiting) / per_mille;
+}
+
+} // namespace
+
 void pending_requests::begin(const flow_key& flow, core::time_point now)
 {
-    if (since_.insert_or_assign(flow, now).second)
+    const request begun{now, waiting()};
+    if (requests_.insert_or_assign(flow, begun).second)
         order_.emplace_back(now, flow);
 }
 
+void pending_requests::answer(const flow_key& flow, core::time_point now)
+{
+    const auto it = requests_.find(flow);
+    if (it == requests_.end())
+        return;
+    const std::chrono::nanoseconds taken = now - it->second.since;
+    const auto sample = taken * per_mille / (per_mille + it->second.waiting);
+    service_time_ = service_time_ ? *service_time_ + (sample - *service_time_) / sample_divisor : sample;
+    requests_.erase(it);
+}
+
 void pending_requests::expire(core::time_point now)
 {
     while (!order_.empty() && now - order_.front().first >= memory) {
         const auto flow = order_.front().second;
         order_.pop_front();
-        const auto it = since_.find(flow);
-        if (it == since_.end())
+        const auto it = requests_.find(flow);
+        if (it == requests_.end())
             continue;
-        if (now - it->second >= memory)
-            since_.erase(it);
+        if (now - it->second.since >= memory)
+            requests_.erase(it);
         else
-            order_.emplace_back(it->second, flow);
+            order_.emplace_back(it->second.since, flow);
     }
 }
 
+std::uint32_t pending_requests::waiting() const
+{
+    const auto busy = static_cast<std::uint32_t>(requests_.size());
+    if (slots_ == 0 || busy < slots_)
+        return 0;
+    return (busy - slots_ + 1) * per_mille / slots_;
+}
+
+std::optional<std::chrono::nanoseconds> pending_requests::expected_time() const
+{
+    if (!service_time_)
+        return std::nullopt;
+    return with_wait(*service_time_, waiting());
+}
+
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -18,19 +20,42 @@
     /// A request without an answer counts for this long: its caller may have gone, or its answer may have been lost.
     static constexpr std::chrono::seconds memory{2};
 
+    /// `slots` is how many requests the upstream serves at the same time; 0 when that is not known.
+    void set_slots(std::uint32_t slots) { slots_ = slots; }
+
     /// The caller has opened the flow or sent data on it.
     void begin(const flow_key& flow, core::time_point now);
 
-    /// The upstream has sent data on the flow, or the flow has ended.
-    void end(const flow_key& flow) { since_.erase(flow); }
+    /// The upstream has sent data on the flow.
+    void answer(const flow_key& flow, core::time_point now);
+
+    /// The flow has ended, or the upstream does not hold it.
+    void forget(const flow_key& flow) { requests_.erase(flow); }
 
     void expire(core::time_point now);
 
-    std::size_t size() const { return since_.size(); }
+    std::size_t size() const { return requests_.size(); }
+
+    /// Returns the requests beyond the free slots, in thousandths of the slots; 0 while a slot is free.
+    std::uint32_t waiting() const;
+
+    /// Returns how long the upstream works on a request, as its answers show. Nothing before the first answer.
+    std::optional<std::chrono::nanoseconds> service_time() const { return service_time_; }
+
+    /// Returns how long a request that begins now is expected to wait and be worked on.
+    std::optional<std::chrono::nanoseconds> expected_time() const;
 
 private:
-    std::unordered_map<flow_key, core::time_point> since_;
+    struct request {
+        core::time_point since;
+        /// waiting() when the request began.
+        std::uint32_t waiting = 0;
+    };
+
+    std::uint32_t slots_ = 0;
+    std::unordered_map<flow_key, request> requests_;
     std::deque<std::pair<core::time_point, flow_key>> order_;
+    std::optional<std::chrono::nanoseconds> service_time_;
 };
 
 } // namespace ibisdyke::routing
