--- a/libraries/ibisdyke/dissemination/wire/codec.cpp
+++ b/libraries/ibisdyke/dissemination/wire/codec.cpp
@@ -1,12 +1,16 @@
 #include "ibisdyke/dissemination/wire/codec.h"
 
 #include "ibisdyke/configuration/wire/records.h"
+#include "ibisdyke/core/error.h"
 #include "ibisdyke/core/wire/convert.h"
 #include "ibisdyke/core/wire/message.h"
 #include "ibisdyke/dissemination/wire/dissemination.pb.h"
 #include "ibisdyke/membership/wire/records.h"
 
 #include <algorithm>
+#include <google/protobuf/io/gzip_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <limits>
 #include <memory>
 
@@ -22,6 +26,9 @@
 using membership::wire::from_wire;
 using membership::wire::to_wire;
 
+/// Bounds what a compressed state may grow to. The state of the design size takes 0.8 MB.
+constexpr std::int64_t max_state_bytes = std::int64_t{64} * 1024 * 1024;
+
 void state_to_wire(const system_state& value, SystemState& message)
 {
     to_wire(value.applied, *message.mutable_applied());
@@ -140,9 +147,32 @@
     return static_cast<std::uint32_t>(std::clamp<core::milliseconds::rep>(age.count(), 0, max));
 }
 
+std::string compress(const SystemState& state)
+{
+    std::string result;
+    google::protobuf::io::StringOutputStream out(&result);
+    google::protobuf::io::GzipOutputStream gzip(&out);
+    if (!state.SerializeToZeroCopyStream(&gzip) || !gzip.Close())
+        throw core::error("a system state cannot be compressed");
+    return result;
+}
+
+SystemState decompress(const std::string& bytes)
+{
+    google::protobuf::io::ArrayInputStream in(bytes.data(), static_cast<int>(bytes.size()));
+    google::protobuf::io::GzipInputStream gzip(&in);
+    google::protobuf::io::LimitingInputStream limited(&gzip, max_state_bytes);
+    SystemState result;
+    if (!result.ParseFromZeroCopyStream(&limited))
+        throw core::malformed_message("a compressed system state cannot be decoded");
+    return result;
+}
+
 void content_to_wire(const system_state_snapshot& value, FeedMessage& message)
 {
-    state_to_wire(*value, *message.mutable_snapshot());
+    SystemState state;
+    state_to_wire(*value, state);
+    message.set_compressed_snapshot(compress(state));
 }
 
 void content_to_wire(const delta& value, FeedMessage& message)
@@ -225,6 +255,8 @@
     switch (message.content_case()) {
     case FeedMessage::kSnapshot:
         return std::make_shared<const system_state>(state_from_wire(message.snapshot()));
+    case FeedMessage::kCompressedSnapshot:
+        return std::make_shared<const system_state>(state_from_wire(decompress(message.compressed_snapshot())));
     case FeedMessage::kDelta:
         return delta_from_wire(message.delta());
     case FeedMessage::kKeepAlive:
--- a/libraries/ibisdyke/frontends/process_host.cpp
+++ b/libraries/ibisdyke/frontends/process_host.cpp
@@ -3,6 +3,7 @@
 #include "ibisdyke/observability/log.h"
 
 #include <QJsonDocument>
+#include <QLoggingCategory>
 #include <QRandomGenerator>
 
 #include <iostream>
@@ -64,6 +65,9 @@
     : identity_(std::move(identity))
     , admin_address_(admin_address)
 {
+    // No plugin is used. Qt's HTTP server would load the TLS back end, which takes half of a process's start.
+    QCoreApplication::setLibraryPaths({});
+    QLoggingCategory::setFilterRules("qt.network.ssl=false");
     // The parts of a process create their threads before run() watches the signals.
     transport::signal_watcher::block_signals();
 }
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// The share of a route's latency target that the upstream may take; the rest is for the network and for variation.
-constexpr int upstream_share_percent = 70;
+constexpr int upstream_share_percent = 50;
 
 /// A caller gives its attempt up after it has sent this copy of a SYN.
 constexpr std::uint32_t last_copy = 2;
