--- a/libraries/ibisdyke/replication/group_keeper.cpp
+++ b/libraries/ibisdyke/replication/group_keeper.cpp
@@ -4,6 +4,13 @@
 
 namespace ibisdyke::replication {
 
+group_limits limits_for(std::size_t losses)
+{
+    group_limits result;
+    result.min_voters = 2 * losses + 1;
+    return result;
+}
+
 bool may_join(const std::vector<member_view>& members, const member& joining, const group_limits& limits)
 {
     const bool is_known = std::any_of(
--- a/libraries/ibisdyke/replication/group_keeper.h
+++ b/libraries/ibisdyke/replication/group_keeper.h
@@ -15,13 +15,17 @@
     core::milliseconds voter_silence{1'500};
     /// The same for a member that does not vote: it takes no part in any majority, so there is no hurry.
     core::milliseconds non_voter_silence{10'000};
-    /// No voter is removed when fewer than this many would be left: three bear the loss of one.
+    /// No voter is removed when fewer than this many would be left.
     std::size_t min_voters = 3;
     std::size_t max_members = 9;
 
     friend bool operator==(const group_limits&, const group_limits&) = default;
 };
 
+/// Returns the limits of a group in which `losses` data folders may be lost at the same time. As many voters as that must
+/// be fewer than half: the others then still elect a leader, and each committed record is on one of their disks.
+group_limits limits_for(std::size_t losses);
+
 /// A member as the leader sees it.
 struct member_view {
     member recorded;
--- a/libraries/ibisdyke/replication/tests/group_keeper_test.cpp
+++ b/libraries/ibisdyke/replication/tests/group_keeper_test.cpp
@@ -42,6 +42,20 @@
     CHECK(member_to_remove(group, limits) == core::control_id(2));
 }
 
+// Guards against committed records that are lost with two disks because the group had shrunk to three.
+TEST_CASE("a group keeps enough voters for the losses that it is to bear")
+{
+    std::vector<member_view> group{view_of(1, member_role::voter, 0ms)};
+    for (std::uint64_t id = 2; id <= 5; ++id)
+        group.push_back(view_of(id, member_role::voter, id > 3 ? 60s : 10ms));
+    CHECK(member_to_remove(group, limits_for(1)));
+    CHECK_FALSE(member_to_remove(group, limits_for(2)));
+    group.push_back(view_of(6, member_role::voter, 10ms));
+    CHECK_FALSE(member_to_remove(group, limits_for(2)));
+    group.push_back(view_of(7, member_role::voter, 10ms));
+    CHECK(member_to_remove(group, limits_for(2)) == core::control_id(4));
+}
+
 // Guards against a group that grows without bound.
 TEST_CASE("a process may join unless it is a member or the group is full")
 {
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::uint64_t max_control_id = 0xffff'ffff;
 constexpr std::size_t max_members = 9;
+/// With 9 members, 4 may be lost.
+constexpr std::uint64_t max_tolerated_losses = 4;
 constexpr core::milliseconds default_drain_limit{5000};
 constexpr core::milliseconds max_drain_limit{60'000};
 constexpr core::milliseconds hand_over_limit{1000};
@@ -150,6 +152,9 @@
         "Whether the seeds may form a new group: only when the system starts for the first "
         "time",
         {"no", form_yes});
+    parser.add_number("tolerated-losses",
+        "Members whose data folders may be lost at the same time; a group out of seeds keeps enough voters for it", 1, 0,
+        max_tolerated_losses);
     parser.add_endpoint(
         "listen-operators", "Address for operators' route plans, where the front end has one", "", presence::optional);
     parser.add_endpoint("listen-peer", "Address for other processes (HTTP/2)", "", presence::required);
@@ -218,7 +223,7 @@
     self.admin_endpoint = options.admin_endpoint;
     upkeep_ = std::make_unique<frontends::group_upkeep>(*group_, self, frontends::peer_endpoints(values, "seeds"),
         router_, host_->counters(), host_->identity().source_address, &host_->control_traffic(),
-        replication::group_limits{}, nullptr);
+        replication::limits_for(values.number("tolerated-losses")), nullptr);
 }
 
 void control_process::create_operators_server(const settings::setting_values& values, const frontends::front_end& world)
