--- a/libraries/ibisdyke/replication/group_keeper.h
+++ b/libraries/ibisdyke/replication/group_keeper.h
@@ -22,8 +22,8 @@
     friend bool operator==(const group_limits&, const group_limits&) = default;
 };
 
-/// Returns the limits of a group in which `losses` data folders may be lost at the same time. As many voters as that must
-/// be fewer than half: the others then still elect a leader, and each committed record is on one of their disks.
+/// Returns the limits of a group in which `losses` data folders may be lost at the same time. As many voters as that
+/// must be fewer than half: the others then still elect a leader, and each committed record is on one of their disks.
 group_limits limits_for(std::size_t losses);
 
 /// A member as the leader sees it.
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -126,8 +126,7 @@
     packet_decision finish_search(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static bool search_next_service(const packet_facts& packet, packet_header& header, const agent_facts& facts);
-    std::optional<packet_reason> refusal(
-        const packet_facts& packet, const agent_facts& facts, core::time_point now);
+    std::optional<packet_reason> refusal(const packet_facts& packet, const agent_facts& facts, core::time_point now);
     packet_decision place_disowned(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static packet_decision misdirected(
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -13,8 +13,8 @@
 
 namespace ibisdyke::routing {
 
-/// The flows on which an upstream owes an answer: the work that it has. Known only where the upstream's answers pass its
-/// agent. Used by one thread.
+/// The flows on which an upstream owes an answer: the work that it has. Known only where the upstream's answers pass
+/// its agent. Used by one thread.
 class pending_requests {
 public:
     /// A request without an answer counts for this long: its caller may have gone, or its answer may have been lost.
--- /dev/null
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -0,0 +1,182 @@
+#include "ibisdyke/testing/simulated_hosts.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <queue>
+
+using namespace ibisdyke;
+using namespace std::chrono_literals;
+using routing::packet_action;
+using routing::packet_kind;
+using routing::packet_reason;
+using routing::search_phase;
+using testing::simulated_hosts;
+
+namespace {
+
+constexpr std::uint32_t slots = 2;
+constexpr auto service_time = 24ms;
+constexpr auto latency_target = 100ms;
+
+/// Upstreams with a queue each, in virtual time, and callers that send a SYN and, when nothing answers, its copies.
+class loaded_hosts {
+public:
+    explicit loaded_hosts(std::size_t count)
+        : hosts(count)
+    {
+        hosts.upstreams_disown = true;
+        hosts.latency_target = latency_target;
+        for (const auto& it : hosts.members)
+            hosts.admission[it.target.id].slots = slots;
+        hosts.update_agents();
+    }
+
+    struct outcome {
+        std::size_t in_time = 0;
+        std::size_t late = 0;
+        std::size_t refused = 0;
+    };
+
+    /// Callers whose first SYN is due at these times, and what became of them. A refused caller does not come back.
+    outcome run(const std::vector<std::chrono::nanoseconds>& arrivals)
+    {
+        for (std::uint32_t i = 0; i < arrivals.size(); ++i)
+            at(start_ + arrivals[i], [this, i] { send(i, 0, hosts.now); });
+        while (!events_.empty()) {
+            auto [time, run_event] = events_.top();
+            events_.pop();
+            hosts.now = time.first;
+            for (const auto& [id, agent] : hosts.agents)
+                agent->maintain(hosts.facts_of(id), hosts.now);
+            run_event();
+        }
+        return outcome_;
+    }
+
+    simulated_hosts hosts;
+
+private:
+    using event = std::pair<std::pair<core::time_point, std::uint64_t>, std::function<void()>>;
+
+    struct later {
+        bool operator()(const event& a, const event& b) const { return a.first > b.first; }
+    };
+
+    void at(core::time_point time, std::function<void()> run_event)
+    {
+        events_.push({{time, ++event_count_}, std::move(run_event)});
+    }
+
+    void send(std::uint32_t caller, std::uint32_t copies, core::time_point first)
+    {
+        auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        syn.is_first = copies == 0;
+        syn.copies = copies;
+        const auto end = hosts.send(syn, hosts.table, copies == 0 ? search_phase::place : search_phase::find);
+        if (end.action == packet_action::place)
+            return serve(end.at, syn.flow, first);
+        if (end.action != packet_action::drop || copies >= 2) {
+            ++outcome_.refused;
+            return;
+        }
+        at(first + (copies == 0 ? 200ms : 600ms), [this, caller, copies, first] { send(caller, copies + 1, first); });
+    }
+
+    void serve(const core::upstream_id& id, const routing::flow_key& flow, core::time_point first)
+    {
+        auto& free = free_at_[id];
+        free.resize(slots);
+        auto& slot = *std::min_element(free.begin(), free.end());
+        slot = std::max(slot, hosts.now) + service_time;
+        at(slot, [this, id, flow, first] {
+            hosts.agents.at(id)->note_answer(flow, packet_kind::segment, true, hosts.now);
+            hosts.agents.at(id)->note_answer(flow, packet_kind::closing, false, hosts.now);
+            (hosts.now - first <= latency_target ? outcome_.in_time : outcome_.late) += 1;
+        });
+    }
+
+    core::time_point start_{1h};
+    std::priority_queue<event, std::vector<event>, later> events_;
+    std::uint64_t event_count_ = 0;
+    std::map<core::upstream_id, std::vector<core::time_point>> free_at_;
+    outcome outcome_;
+};
+
+/// Returns arrivals at an even rate.
+std::vector<std::chrono::nanoseconds> evenly(std::size_t count, std::chrono::nanoseconds duration)
+{
+    std::vector<std::chrono::nanoseconds> result;
+    for (std::size_t i = 0; i < count; ++i)
+        result.push_back(duration * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(count));
+    return result;
+}
+
+} // namespace
+
+// Replays the load after a recovery: for a second, twice as many flows begin as the upstreams bear. Guards against
+// queues that make every answer late.
+TEST_CASE("under twice the load that upstreams bear, the flows that are taken are answered in time")
+{
+    loaded_hosts hosts(7);
+    const auto bearable = 7 * slots * (1s / service_time);
+    const auto done = hosts.run(evenly(static_cast<std::size_t>(2 * bearable), 1s));
+    CHECK(done.in_time > static_cast<std::size_t>(bearable * 9 / 10));
+    CHECK(done.late < static_cast<std::size_t>(bearable / 20));
+    CHECK(done.refused > static_cast<std::size_t>(bearable * 8 / 10));
+}
+
+// Guards against refusals while there is room.
+TEST_CASE("below the load that upstreams bear, hardly a flow is refused")
+{
+    loaded_hosts hosts(7);
+    const auto bearable = 7 * slots * (1s / service_time);
+    const auto done = hosts.run(evenly(static_cast<std::size_t>(bearable * 7 / 10), 1s));
+    CHECK(done.refused == 0);
+    CHECK(done.late == 0);
+}
+
+// Guards against flows that all go to the first candidate of their bucket while another one is idle.
+TEST_CASE("a flow goes to a candidate with a free slot, or else to the least loaded")
+{
+    simulated_hosts hosts(3);
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id].slots = slots;
+    hosts.update_agents();
+    std::map<core::upstream_id, std::size_t> placed;
+    std::size_t fewest = 0;
+    for (std::uint32_t caller = 0; caller < 60; ++caller) {
+        auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        syn.is_first = true;
+        const auto end = hosts.send(syn, hosts.table, search_phase::place);
+        REQUIRE(end.action == packet_action::place);
+        ++placed[end.at];
+        hosts.update_mean();
+    }
+    fewest = std::min_element(placed.begin(), placed.end(), [](const auto& a, const auto& b) {
+        return a.second < b.second;
+    })->second;
+    CHECK(placed.size() == 3);
+    CHECK(fewest >= 18);
+}
+
+// Guards against callers who have waited past the target and keep the slots from those who can still be answered.
+TEST_CASE("a copy of a SYN waits while no slot is free, and its last copy is refused")
+{
+    simulated_hosts hosts(1);
+    hosts.admission[hosts.members[0].target.id].slots = 1;
+    hosts.update_agents();
+    auto syn = simulated_hosts::packet(1, packet_kind::syn);
+    syn.is_first = true;
+    CHECK(hosts.send(syn, hosts.table, search_phase::place).action == packet_action::place);
+    auto copy = simulated_hosts::packet(2, packet_kind::syn);
+    copy.copies = 1;
+    const auto waits = hosts.send(copy, hosts.table);
+    CHECK(waits.action == packet_action::drop);
+    CHECK(waits.reason == packet_reason::yields);
+    copy.copies = 2;
+    CHECK(hosts.send(copy, hosts.table).action == packet_action::reject);
+    hosts.agents.at(hosts.members[0].target.id)->note_answer(syn.flow, packet_kind::segment, true, hosts.now);
+    CHECK(hosts.send(copy, hosts.table).action == packet_action::place);
+}
--- /dev/null
+++ b/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
@@ -0,0 +1,81 @@
+#include "ibisdyke/routing/pending_requests.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisdyke;
+using namespace std::chrono_literals;
+using routing::pending_requests;
+
+namespace {
+
+routing::flow_key flow(std::uint16_t port)
+{
+    return {1, 2, port, 443, routing::ip_protocol::tcp};
+}
+
+const core::time_point start{1h};
+
+} // namespace
+
+TEST_CASE("requests wait once all slots are taken")
+{
+    pending_requests it;
+    it.set_slots(2);
+    CHECK(it.waiting() == 0);
+    it.begin(flow(1), start);
+    CHECK(it.waiting() == 0);
+    it.begin(flow(2), start);
+    CHECK(it.waiting() == 500);
+    it.begin(flow(2), start);
+    CHECK(it.size() == 2);
+    it.begin(flow(3), start);
+    CHECK(it.waiting() == 1000);
+    it.answer(flow(1), start + 10ms);
+    it.forget(flow(2));
+    CHECK(it.waiting() == 0);
+}
+
+// Guards against upstreams of unknown size that are taken for full.
+TEST_CASE("nothing waits where the number of slots is unknown")
+{
+    pending_requests it;
+    for (std::uint16_t i = 0; i < 100; ++i)
+        it.begin(flow(i), start);
+    CHECK(it.waiting() == 0);
+}
+
+// Guards against an expected time that follows the queue in which the samples were taken, and so refuses everything
+// after a peak.
+TEST_CASE("the service time leaves out the wait")
+{
+    pending_requests it;
+    it.set_slots(1);
+    CHECK_FALSE(it.expected_time());
+    // One request at work and one behind it: the second one takes twice the service time.
+    it.begin(flow(1), start);
+    it.begin(flow(2), start);
+    it.answer(flow(1), start + 20ms);
+    it.answer(flow(2), start + 40ms);
+    CHECK(it.service_time() == 20ms);
+    CHECK(it.expected_time() == 20ms);
+    it.begin(flow(3), start + 50ms);
+    CHECK(it.expected_time() == 40ms);
+}
+
+// Guards against slots that stay taken for requests whose callers have gone.
+TEST_CASE("a request without an answer is forgotten after a while")
+{
+    pending_requests it;
+    it.set_slots(1);
+    it.begin(flow(1), start);
+    it.begin(flow(2), start + 1s);
+    it.begin(flow(1), start + 1500ms);
+    it.expire(start + 2999ms);
+    CHECK(it.size() == 2);
+    it.expire(start + 3s);
+    CHECK(it.size() == 1);
+    it.expire(start + 3500ms);
+    CHECK(it.size() == 0);
+    it.answer(flow(1), start + 4s);
+    CHECK_FALSE(it.service_time());
+}
--- a/libraries/ibisdyke/testing/simulated_hosts.h
+++ b/libraries/ibisdyke/testing/simulated_hosts.h
@@ -91,9 +91,10 @@
     std::shared_ptr<const routing::routing_table> make_table() const
     {
         routing::service_members all{service, "service", members, {}};
-        all.addresses.push_back({{address, port}, routing::ip_protocol::tcp});
-        all.addresses.push_back({{address, port}, routing::ip_protocol::udp});
-        return routing::routing_table::create(at, {all}, nullptr);
+        routing::route_set routes;
+        for (const auto protocol : {routing::ip_protocol::tcp, routing::ip_protocol::udp})
+            routes.routes.push_back({{{address, port}, protocol}, {{service, 1}}, {}, latency_target});
+        return routing::routing_table::create(at, {all}, nullptr, routes);
     }
 
     /// Gives all agents the present version and the present mean of open flows.
@@ -127,6 +128,9 @@
         const auto& known = late == own_tables.end() ? table : late->second;
         result.applied = known ? known->at() : core::version{};
         result.members = known ? known->find_service(service) : nullptr;
+        result.table = known;
+        result.upstream_disowns = upstreams_disown;
+        result.current_until = current_until;
         result.domain_out = out.contains(id);
         if (const auto it = admission.find(id); it != admission.end())
             result.admission = it->second;
@@ -202,6 +206,12 @@
     std::map<core::upstream_id, routing::flow_admission> admission;
     std::map<core::upstream_id, core::time_point> recovers_until;
     double mean = 0;
+    /// Whether the upstreams return what they do not hold.
+    bool upstreams_disown = false;
+    /// Until when control vouches for the agents' table.
+    core::time_point current_until{};
+    /// The service's latency target; 0 when it has none.
+    core::milliseconds latency_target{0};
     /// The table that the agents have.
     std::shared_ptr<const routing::routing_table> table;
     /// Agents that have another table.
--- a/libraries/ibisdyke/transport/http2_client.cpp
+++ b/libraries/ibisdyke/transport/http2_client.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Longer than a round trip between regions. Short, because the connection to a VM that is only starting hangs until the
-/// system sends the first packet again, after a second.
+/// Longer than a round trip between regions. Short, because the connection to a VM that is only starting hangs until
+/// the system sends the first packet again, after a second.
 constexpr core::milliseconds connect_timeout{400};
 
 } // namespace
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -153,8 +153,8 @@
         "time",
         {"no", form_yes});
     parser.add_number("tolerated-losses",
-        "Members whose data folders may be lost at the same time; a group out of seeds keeps enough voters for it", 1, 0,
-        max_tolerated_losses);
+        "Members whose data folders may be lost at the same time; a group out of seeds keeps enough voters for it", 1,
+        0, max_tolerated_losses);
     parser.add_endpoint(
         "listen-operators", "Address for operators' route plans, where the front end has one", "", presence::optional);
     parser.add_endpoint("listen-peer", "Address for other processes (HTTP/2)", "", presence::required);
