--- a/libraries/ibisdyke/configuration/messages.h
+++ b/libraries/ibisdyke/configuration/messages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ibisdyke::configuration {
@@ -131,6 +132,20 @@
     closed,
 };
 
+/// Returns "in", "out" or "closed".
+constexpr std::string_view to_string(domain_state it)
+{
+    switch (it) {
+    case domain_state::out:
+        return "out";
+    case domain_state::closed:
+        return "closed";
+    case domain_state::in:
+        break;
+    }
+    return "in";
+}
+
 struct domain {
     core::failure_domain name;
     domain_state state = domain_state::in;
--- a/libraries/ibisdyke/configuration/wire/json_codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/json_codec.cpp
@@ -15,8 +15,7 @@
 constexpr std::array role_names{std::pair(role::caller, "caller"), std::pair(role::read, "read"),
     std::pair(role::operate, "operate"), std::pair(role::administer, "administer")};
 
-constexpr std::array domain_state_names{
-    std::pair(domain_state::in, "in"), std::pair(domain_state::out, "out"), std::pair(domain_state::closed, "closed")};
+constexpr std::array domain_states{domain_state::in, domain_state::out, domain_state::closed};
 
 QString text(const std::string& it)
 {
@@ -138,7 +137,8 @@
             entry.insert("to", text(core::to_string(*interval.to)));
         history.append(entry);
     }
-    return {{"name", text(it.name.value())}, {"state", text(to_string(it.state))}, {"history", history}};
+    return {{"name", text(it.name.value())}, {"state", text(std::string(configuration::to_string(it.state)))},
+        {"history", history}};
 }
 
 QJsonObject to_json(const token& it)
@@ -157,20 +157,11 @@
     return result;
 }
 
-std::string to_string(domain_state it)
-{
-    for (const auto& [value, name] : domain_state_names) {
-        if (value == it)
-            return name;
-    }
-    return "in";
-}
-
 domain_state domain_state_from_string(const std::string& text)
 {
-    for (const auto& [value, name] : domain_state_names) {
-        if (text == name)
-            return value;
+    for (const auto it : domain_states) {
+        if (text == configuration::to_string(it))
+            return it;
     }
     throw core::invalid_input("state", text, R"("in", "out" or "closed")");
 }
--- a/libraries/ibisdyke/configuration/wire/json_codec.h
+++ b/libraries/ibisdyke/configuration/wire/json_codec.h
@@ -19,9 +19,6 @@
 QJsonObject to_json(const token& it);
 QJsonObject to_json(const change_record& it);
 
-/// Returns "in", "out" or "closed".
-std::string to_string(domain_state it);
-
 /// Throws core::invalid_input naming the field "state".
 domain_state domain_state_from_string(const std::string& text);
 
--- a/libraries/ibisdyke/frontends/admin_api.cpp
+++ b/libraries/ibisdyke/frontends/admin_api.cpp
@@ -28,23 +28,6 @@
     return QString::fromStdString(it);
 }
 
-const char* upstream_state_name(membership::upstream_state it)
-{
-    switch (it) {
-    case membership::upstream_state::starting:
-        return "starting";
-    case membership::upstream_state::active:
-        return "active";
-    case membership::upstream_state::draining:
-        return "draining";
-    case membership::upstream_state::suspect:
-        return "suspect";
-    case membership::upstream_state::gone:
-        break;
-    }
-    return "gone";
-}
-
 /// Whether the sender may see the service. Services that are gone have no owner any more.
 bool may_see(const admin_exchange& it, const dissemination::system_state& state, core::service_id id)
 {
@@ -347,7 +330,8 @@
         const bool known = service != state->configuration.services.end();
         upstreams.append(QJsonObject{{"id", QString::number(id.value())}, {"name", text(upstream.name)},
             {"service", text(known ? service->second.name : std::to_string(upstream.service.value()))},
-            {"domain", text(upstream.domain.value())}, {"state", upstream_state_name(upstream.state)},
+            {"domain", text(upstream.domain.value())},
+            {"state", text(std::string(membership::to_string(upstream.state)))},
             {"slots", static_cast<qint64>(upstream.slots)},
             {"flow_watermark", text(to_string(upstream.flow_watermark))},
             {"packet_endpoint", text(to_string(upstream.packet_endpoint))},
--- a/libraries/ibisdyke/frontends/admin_server.cpp
+++ b/libraries/ibisdyke/frontends/admin_server.cpp
@@ -1,11 +1,13 @@
 #include "ibisdyke/frontends/admin_server.h"
 
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/observability/log.h"
 
 #include <QHostAddress>
 #include <QHttpServer>
 #include <QHttpServerResponse>
 
+#include <optional>
 #include <utility>
 
 namespace ibisdyke::frontends {
@@ -16,6 +18,19 @@
         throw core::system_failure("cannot listen on " + to_string(address));
 }
 
+std::function<health()> logged(std::function<health()> check)
+{
+    // The function may be copied; its copies share what was seen last.
+    return [check = std::move(check), last = std::make_shared<std::optional<health>>()] {
+        const auto it = check();
+        if (*last != it)
+            observability::write_log(
+                observability::log_level::info, "health_changed", {{"healthy", it.healthy}, {"reason", it.reason}});
+        *last = it;
+        return it;
+    };
+}
+
 admin_server::admin_server(QJsonObject process, const observability::counter_registry& counters,
     std::vector<const observability::state_reporter*> reporters, health_check check, QObject* parent)
     : QObject(parent)
@@ -26,7 +41,9 @@
     , http_(std::make_unique<QHttpServer>())
 {
     http_->route("/state", [this] { return QHttpServerResponse(dump()); });
-    http_->route("/metrics", [this] { return QHttpServerResponse(counters_.to_json()); });
+    http_->route("/metrics", [this] {
+        return QHttpServerResponse("text/plain; version=0.0.4", QByteArray::fromStdString(counters_.to_text()));
+    });
     http_->route("/health", [this] {
         const auto it = check_();
         const auto status =
--- a/libraries/ibisdyke/frontends/admin_server.h
+++ b/libraries/ibisdyke/frontends/admin_server.h
@@ -27,8 +27,11 @@
 /// Makes a server listen at an address. Throws core::system_failure when it cannot be bound.
 void listen(QHttpServer& server, const core::endpoint& address);
 
-/// The local administration address of a process: GET /state (dump), /metrics (counters) and /health (status 200 or
-/// 503). Runs on the control thread.
+/// Returns a check that writes a log line whenever the result of `check` changes.
+std::function<health()> logged(std::function<health()> check);
+
+/// The local administration address of a process: GET /state (dump), /metrics (text exposition) and /health (status 200
+/// or 503). Runs on the control thread.
 class admin_server : public QObject {
 public:
     using health_check = std::function<health()>;
--- a/libraries/ibisdyke/frontends/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/file_log_storage.cpp
@@ -246,9 +246,8 @@
             if (!last || !torn)
                 throw core::system_failure(file.string() + " is damaged at byte " + std::to_string(offset)
                     + "; see docs/operations/control.md, \"Replace a VM\"");
-            observability::write_log(observability::log_level::warning,
-                "cut " + std::to_string(bytes->size() - offset) + " bytes of an unfinished record from "
-                    + file.string());
+            observability::write_log(observability::log_level::warning, "unfinished_record_cut",
+                {{"bytes", std::uint64_t{bytes->size() - offset}}, {"file", file.string()}});
             break;
         }
         const auto batch = replication::wire::decode_write_batch(it.payload);
--- /dev/null
+++ b/libraries/ibisdyke/frontends/flow_log.cpp
@@ -0,0 +1,90 @@
+#include "ibisdyke/frontends/flow_log.h"
+
+#include "ibisdyke/core/endpoint.h"
+#include "ibisdyke/observability/log.h"
+#include "ibisdyke/routing/decision_names.h"
+
+#include <algorithm>
+
+namespace ibisdyke::frontends {
+
+namespace {
+
+using observability::log_level;
+using routing::packet_action;
+
+/// Returns the event of a decision, or nothing for the common case of a packet of a known flow.
+const char* event_of(const routing::packet_decision& it, routing::packet_kind kind)
+{
+    switch (it.action) {
+    case packet_action::place:
+        return "flow_placed";
+    case packet_action::adopt:
+        return "flow_adopted";
+    case packet_action::reject:
+        return "flow_rejected";
+    case packet_action::drop:
+        return "packet_dropped";
+    case packet_action::forward:
+        return routing::may_start_flow(kind) ? "flow_passed_on" : nullptr;
+    case packet_action::deliver:
+        break;
+    }
+    return nullptr;
+}
+
+std::string_view address_name(routing::address_state it)
+{
+    switch (it) {
+    case routing::address_state::withdrawn:
+        return "route_withdrawn";
+    case routing::address_state::routed:
+        return "no_upstream";
+    case routing::address_state::unknown:
+        break;
+    }
+    return "no_route";
+}
+
+} // namespace
+
+std::string flow_id(const routing::flow_key& flow)
+{
+    return to_string(core::endpoint{flow.source_address, flow.source_port}) + ">"
+        + to_string(core::endpoint{flow.destination_address, flow.destination_port});
+}
+
+void log_decision(const logged_decision& it)
+{
+    const auto* const event = event_of(it.decision, it.packet.kind);
+    if (event == nullptr)
+        return;
+    const bool refused = it.decision.action == packet_action::reject || it.decision.action == packet_action::drop;
+    const auto& next = it.decision.next;
+    const auto to = next ? to_string(next->chain[next->position].packet_endpoint) : std::string("upstream");
+    const auto& admission = it.facts.admission;
+    observability::write_log(refused ? log_level::warning : log_level::info, event,
+        {{"flow", flow_id(it.packet.flow)}, {"seq", it.packet.sequence}, {"copies", it.packet.copies},
+            {"reason", to_string(it.decision.reason)}, {"to", refused ? std::string("caller") : to},
+            {"phase", to_string(it.header.phase)}, {"hops", it.header.hops}, {"balancer", to_string(it.header.sender)},
+            {"table", to_string(it.header.table)}, {"applied", to_string(it.facts.applied)},
+            {"accepts", admission.accepts_new_flows}, {"flows_per_s", admission.new_flows_per_second},
+            {"waiting_per_mille", it.load.waiting}, {"open_flows", it.load.open_flows}});
+}
+
+void log_disowned(const routing::packet_facts& packet, const routing::agent_facts& facts)
+{
+    observability::write_log(log_level::warning, "flow_disowned",
+        {{"flow", flow_id(packet.flow)}, {"seq", packet.sequence}, {"opens", routing::may_start_flow(packet.kind)},
+            {"upstream", facts.self.value()}});
+}
+
+void log_unrouted(
+    const routing::packet_facts& packet, routing::address_state address, bool rejected, const core::version& version)
+{
+    observability::write_log(log_level::warning, rejected ? "flow_rejected" : "packet_dropped",
+        {{"flow", flow_id(packet.flow)}, {"seq", packet.sequence}, {"copies", packet.copies},
+            {"reason", address_name(address)}, {"table", to_string(version)}});
+}
+
+} // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/group_upkeep.cpp
+++ b/libraries/ibisdyke/frontends/group_upkeep.cpp
@@ -24,11 +24,6 @@
 /// The pause between two requests to join.
 constexpr core::milliseconds join_pause{400};
 
-std::string name_of(const replication::member& it)
-{
-    return std::to_string(it.id.value()) + " at " + to_string(it.peer_endpoint);
-}
-
 } // namespace
 
 group_upkeep::group_upkeep(replicated_control_group& group, replication::member self, std::vector<core::endpoint> seeds,
@@ -71,8 +66,8 @@
         return;
     group_.add_member(joining, [joining](replication::proposal_status status) {
         if (status == replication::proposal_status::appended)
-            observability::write_log(
-                observability::log_level::info, "took control process " + name_of(joining) + " into the group");
+            observability::write_log(observability::log_level::info, "member_added",
+                {{"member", joining.id.value()}, {"peer", to_string(joining.peer_endpoint)}});
     });
 }
 
@@ -107,8 +102,8 @@
         if (status != replication::proposal_status::appended)
             return;
         self->counters_.add("group_members_removed", 1);
-        observability::write_log(observability::log_level::warning,
-            "removed the silent control process " + std::to_string(id.value()) + " from the group");
+        observability::write_log(
+            observability::log_level::warning, "member_removed", {{"member", id.value()}, {"reason", "silent"}});
     });
 }
 
--- a/libraries/ibisdyke/frontends/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/heartbeat_sender.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
+#include "ibisdyke/observability/log.h"
 #include "ibisdyke/transport/clock.h"
 
 #include <QPointer>
@@ -91,6 +92,9 @@
     }
     try {
         const auto answer = membership::wire::decode_heartbeat_answer(result.body);
+        if (!std::exchange(answered_, true))
+            observability::write_log(
+                observability::log_level::info, "control_found", {{"control", to_string(control)}});
         if (answer.result == membership::heartbeat_result::no_leader)
             move_on(control);
         on_answer_(answer);
@@ -105,6 +109,8 @@
     // Several calls to the same process fail together; only the first of them moves on.
     if (failed != control() || clients_.size() == 1)
         return;
+    if (std::exchange(answered_, false))
+        observability::write_log(observability::log_level::warning, "control_lost", {{"control", to_string(failed)}});
     current_ = (current_ + 1) % clients_.size();
     if (resends_left_ == 0)
         return;
--- a/libraries/ibisdyke/frontends/heartbeat_sender.h
+++ b/libraries/ibisdyke/frontends/heartbeat_sender.h
@@ -68,6 +68,8 @@
     std::size_t current_ = 0;
     /// Resends that are left until the next period, so that closed ports do not cause a busy loop.
     std::size_t resends_left_ = 0;
+    /// Whether the control process in use answered last.
+    bool answered_ = false;
     /// Begins with the wall-clock time in ms, so that a restarted process has higher numbers than the one before. Grows
     /// by some 2 a second.
     std::uint64_t sequence_;
--- a/libraries/ibisdyke/frontends/ip_packet_format.cpp
+++ b/libraries/ibisdyke/frontends/ip_packet_format.cpp
@@ -113,6 +113,7 @@
     facts.flow.source_port = tcp.sport();
     facts.flow.destination_port = tcp.dport();
     facts.kind = kind_of(tcp);
+    facts.sequence = tcp.seq();
     result.status = parse_status::parsed;
     return result;
 }
--- a/libraries/ibisdyke/frontends/lease_manager.cpp
+++ b/libraries/ibisdyke/frontends/lease_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
+#include "ibisdyke/observability/log.h"
 #include "ibisdyke/transport/clock.h"
 #include "ibisdyke/transport/rpc_client.h"
 
@@ -23,6 +24,20 @@
 /// Less than the sender's timeout of 500 ms, so that the sender learns that its control process is alive.
 constexpr core::milliseconds max_wait{400};
 
+/// Writes a line for each upstream whose record the leader has changed.
+void log_change(const membership::membership_change& change, const core::version& at)
+{
+    for (const auto& it : change.joins)
+        observability::write_log(observability::log_level::info, "upstream_recorded",
+            {{"name", it.name}, {"state", "joined"}, {"service", it.service.value()}, {"domain", it.domain.value()},
+                {"packets", to_string(it.packet_endpoint)}, {"version", to_string(at)}});
+    for (const auto& it : change.updates)
+        observability::write_log(observability::log_level::info, "upstream_recorded",
+            {{"upstream", it.id.value()}, {"state", membership::to_string(it.state)},
+                {"packets", to_string(it.packet_endpoint)}, {"watermark", to_string(it.flow_watermark)},
+                {"version", to_string(at)}});
+}
+
 } // namespace
 
 lease_manager::lease_manager(transport::rpc_router& router, control_group& group, observability::counter_sink& counters,
@@ -260,13 +275,14 @@
         return;
     proposing_ = true;
     counters_.add("membership_changes_proposed", 1);
-    group_.submit(*change, [self = QPointer<lease_manager>(this)](const auto& result) {
+    group_.submit(*change, [self = QPointer<lease_manager>(this), change = *change](const auto& result) {
         if (!self)
             return;
         self->proposing_ = false;
-        if (result.status == submit_status::committed)
+        if (result.status == submit_status::committed) {
             self->proposed_ = result.at;
-        else
+            log_change(change, result.at);
+        } else
             self->counters_.add("membership_changes_failed", 1);
     });
 }
--- a/libraries/ibisdyke/frontends/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packet_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "ibisdyke/frontends/packet_forwarder.h"
 
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/frontends/flow_log.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -144,6 +145,7 @@
     without_service_.add(1);
     const auto state = table_->table->chains->destinations().state_of(facts.flow);
     const bool rejected = facts.kind == routing::packet_kind::syn || state == routing::address_state::withdrawn;
+    log_unrouted(facts, state, rejected, table_->table->chains->at());
     if (!rejected || !answers_.take(now))
         return;
     auto answer = format_->make_reject(batch_.bytes(i));
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -1,6 +1,8 @@
 #include "ibisdyke/frontends/packet_receiver.h"
 
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/frontends/flow_log.h"
+#include "ibisdyke/routing/decision_names.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -34,41 +36,25 @@
         , placed(from.find("agent_flows_placed"))
         , adopted(from.find("agent_flows_adopted"))
         , forwarded(from.find("agent_packets_forwarded"))
-        , rejected_domain_out(from.find("agent_rejected_domain_out"))
-        , rejected_unknown_flow(from.find("agent_rejected_unknown_flow"))
-        , dropped_unknown_flow(from.find("agent_dropped_unknown_flow"))
-        , rejected_overloaded(from.find("agent_rejected_overloaded"))
-        , rejected_withdrawn(from.find("agent_rejected_withdrawn"))
-        , rejected_no_capacity(from.find("agent_rejected_no_capacity"))
-        , rejected_table_full(from.find("agent_rejected_table_full"))
-        , dropped_yields(from.find("agent_dropped_yields"))
-        , dropped_answer_limit(from.find("agent_dropped_answer_limit"))
-        , foreign(from.find("agent_dropped_foreign"))
-        , too_many_hops(from.find("agent_dropped_too_many_hops"))
         , not_ready(from.find("agent_dropped_not_ready"))
         , malformed(from.find("agent_dropped_malformed"))
         , send_failures(from.find("agent_send_failures"))
         , notices(from.find("agent_version_notices_sent"))
     {
+        for (const auto it : routing::packet_reasons) {
+            rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
+            dropped.emplace(it, &from.find("agent_dropped_" + std::string(to_string(it))));
+        }
     }
 
+    std::map<routing::packet_reason, observability::counter*> rejected;
+    std::map<routing::packet_reason, observability::counter*> dropped;
     observability::counter& answers;
     observability::counter& disowned;
     observability::counter& delivered;
     observability::counter& placed;
     observability::counter& adopted;
     observability::counter& forwarded;
-    observability::counter& rejected_domain_out;
-    observability::counter& rejected_unknown_flow;
-    observability::counter& dropped_unknown_flow;
-    observability::counter& rejected_overloaded;
-    observability::counter& rejected_withdrawn;
-    observability::counter& rejected_no_capacity;
-    observability::counter& rejected_table_full;
-    observability::counter& dropped_yields;
-    observability::counter& dropped_answer_limit;
-    observability::counter& foreign;
-    observability::counter& too_many_hops;
     observability::counter& not_ready;
     observability::counter& malformed;
     observability::counter& send_failures;
@@ -224,7 +210,10 @@
     const auto header = known != nullptr ? *known : routing::flow_agent::make_header(parsed.facts, *facts_);
     if (!header)
         return counters_->not_ready.add(1);
-    carry_out(agent_.decide_disowned(parsed.facts, *header, *facts_, now), *header, original);
+    log_disowned(parsed.facts, *facts_);
+    const auto decision = agent_.decide_disowned(parsed.facts, *header, *facts_, now);
+    log_decision({parsed.facts, *header, decision, *facts_, agent_.load()});
+    carry_out(decision, *header, original);
 }
 
 void packet_receiver::handle(std::size_t i, core::time_point now)
@@ -251,6 +240,7 @@
     const auto decision = agent_.decide(parsed.facts, header, *facts_, now);
     if (decision.action == routing::packet_action::place)
         ++usage_.flows;
+    log_decision({parsed.facts, header, decision, *facts_, agent_.load()});
     carry_out(decision, header, packet);
 }
 
@@ -276,9 +266,10 @@
         return;
     }
     case packet_action::reject:
-        return reject(packet, decision.reason);
+        counters_->rejected.at(decision.reason)->add(1);
+        return reject(packet);
     case packet_action::drop:
-        return count_drop(decision.reason);
+        return counters_->dropped.at(decision.reason)->add(1);
     }
     deliver(packet, header);
 }
@@ -293,44 +284,8 @@
     outgoing_.push_back({packet, settings_.upstream});
 }
 
-void packet_receiver::count_drop(routing::packet_reason reason)
+void packet_receiver::reject(std::string_view packet)
 {
-    switch (reason) {
-    case routing::packet_reason::too_many_hops:
-        return counters_->too_many_hops.add(1);
-    case routing::packet_reason::unknown_flow:
-        return counters_->dropped_unknown_flow.add(1);
-    case routing::packet_reason::yields:
-        return counters_->dropped_yields.add(1);
-    case routing::packet_reason::answer_limit:
-        return counters_->dropped_answer_limit.add(1);
-    default:
-        return counters_->foreign.add(1);
-    }
-}
-
-void packet_receiver::reject(std::string_view packet, routing::packet_reason reason)
-{
-    switch (reason) {
-    case routing::packet_reason::domain_out:
-        counters_->rejected_domain_out.add(1);
-        break;
-    case routing::packet_reason::overloaded:
-        counters_->rejected_overloaded.add(1);
-        break;
-    case routing::packet_reason::withdrawn:
-        counters_->rejected_withdrawn.add(1);
-        break;
-    case routing::packet_reason::no_capacity:
-        counters_->rejected_no_capacity.add(1);
-        break;
-    case routing::packet_reason::table_full:
-        counters_->rejected_table_full.add(1);
-        break;
-    default:
-        counters_->rejected_unknown_flow.add(1);
-        break;
-    }
     auto answer = formats_.callers->make_reject(packet);
     if (!answer)
         return;
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -133,8 +133,7 @@
         const routing::packet_decision& decision, const routing::packet_header& header, std::string_view packet);
     void deliver(std::string_view packet, const routing::packet_header& header);
     std::string_view keep(std::string bytes);
-    void count_drop(routing::packet_reason reason);
-    void reject(std::string_view packet, routing::packet_reason reason);
+    void reject(std::string_view packet);
     void compare_versions(const routing::packet_header& header, core::time_point now);
     void maintain(core::time_point now);
 
--- a/libraries/ibisdyke/frontends/process_host.cpp
+++ b/libraries/ibisdyke/frontends/process_host.cpp
@@ -55,7 +55,6 @@
 
 std::unique_ptr<process_host> process_host::create(const std::string& program, const settings::setting_values& values)
 {
-    observability::initialise_log(values.text("name"));
     const process_identity identity{program, values.text("name"), core::failure_domain(values.text("failure-domain")),
         core::incarnation(QRandomGenerator::system()->generate64()), source_address(values)};
     return std::make_unique<process_host>(identity, values.endpoint("listen-admin"));
@@ -70,6 +69,12 @@
     QLoggingCategory::setFilterRules("qt.network.ssl=false");
     // The parts of a process create their threads before run() watches the signals.
     transport::signal_watcher::block_signals();
+    observability::initialise_log(identity_.name, counters_);
+}
+
+process_host::~process_host()
+{
+    observability::finish_log();
 }
 
 exit_code process_host::run(std::vector<const observability::state_reporter*> reporters,
@@ -96,9 +101,12 @@
                 settings_->check();
         },
         nullptr);
-    observability::write_log(observability::log_level::info, "started; administration on " + to_string(admin_address_));
+    observability::write_log(observability::log_level::info, "started",
+        {{"program", identity_.program}, {"version", IBISDYKE_VERSION}, {"domain", identity_.domain.value()},
+            {"incarnation", identity_.incarnation.value()}, {"administration", to_string(admin_address_)}});
     QCoreApplication::exec();
-    observability::write_log(observability::log_level::info, "stopped");
+    observability::write_log(
+        observability::log_level::info, "stopped", {{"cause", result_ == exit_code::success ? "signal" : "failure"}});
     return result_;
 }
 
@@ -119,7 +127,7 @@
         finish();
         return;
     }
-    observability::write_log(observability::log_level::info, "stopping");
+    observability::write_log(observability::log_level::info, "stopping", {{"cause", "signal"}});
     on_stop();
 }
 
--- a/libraries/ibisdyke/frontends/process_host.h
+++ b/libraries/ibisdyke/frontends/process_host.h
@@ -41,11 +41,19 @@
     /// Declares the settings that create() reads.
     static void declare_settings(settings::settings_parser& parser);
 
-    /// Reads the settings, initialises the log and draws an incarnation.
+    /// Reads the settings and draws an incarnation.
     static std::unique_ptr<process_host> create(const std::string& program, const settings::setting_values& values);
 
+    /// Begins the log.
     process_host(process_identity identity, const core::endpoint& admin_address);
 
+    /// Writes the log lines that still wait.
+    ~process_host();
+    process_host(const process_host&) = delete;
+    process_host& operator=(const process_host&) = delete;
+    process_host(process_host&&) = delete;
+    process_host& operator=(process_host&&) = delete;
+
     const process_identity& identity() const { return identity_; }
     observability::counter_registry& counters() { return counters_; }
 
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -250,7 +250,7 @@
     } catch (const std::exception& e) {
         failed_ = true;
         timer_.stop();
-        observability::write_log(observability::log_level::error, std::string("storage failed: ") + e.what());
+        observability::write_log(observability::log_level::error, "storage_failed", {{"error", e.what()}});
         fail_waiting();
         if (on_failure_)
             on_failure_(e.what());
@@ -419,8 +419,9 @@
             counters_.add("elections_started", 1);
     } else {
         const auto leader = noted_leader_ ? std::to_string(noted_leader_->value()) : "unknown";
-        observability::write_log(observability::log_level::info,
-            std::string(role_name(noted_role_)) + " in term " + std::to_string(noted_term_) + ", leader " + leader);
+        observability::write_log(observability::log_level::info, "role_changed",
+            {{"role", role_name(noted_role_)}, {"term", noted_term_}, {"leader", leader},
+                {"committed", node_->committed()}});
     }
     if (led && noted_role_ != replication::raft_role::leader)
         fail_waiting();
--- a/libraries/ibisdyke/frontends/route_plan_service.cpp
+++ b/libraries/ibisdyke/frontends/route_plan_service.cpp
@@ -40,6 +40,7 @@
     auto change =
         configuration::make_change(group_.state()->configuration, group_.plan_document(), next.plan, next.document);
     proposing_ = true;
+    proposed_ = {next.plan.revision, transport::read_clock(), change.routes.size(), change.removed.size()};
     counters_.add("route_plans_proposed", 1);
     group_.submit(make_command(std::move(change)), [self = QPointer<route_plan_service>(this)](const auto& result) {
         if (self)
@@ -55,14 +56,27 @@
     if (result.status == submit_status::unknown)
         return fail_all(order_status::unknown);
     if (result.outcome && result.outcome->kind == configuration::outcome_kind::rejected) {
-        observability::write_log(
-            observability::log_level::warning, "route plan refused by the state machine: " + result.outcome->message);
+        observability::write_log(observability::log_level::warning, "plan_rejected",
+            {{"field", result.outcome->field}, {"error", result.outcome->message}});
         return fail_all(order_status::unknown);
     }
+    if (result.outcome && result.outcome->kind == configuration::outcome_kind::accepted)
+        log_accepted(result.at);
     // After a conflict the change is worked out again for the plan that came first.
     propose_next();
 }
 
+void route_plan_service::log_accepted(const core::version& at)
+{
+    const auto taken = transport::read_clock() - proposed_.since;
+    const auto taken_ms = std::chrono::duration<double, std::milli>(taken).count();
+    counters_.sample("route_plan_commit_ms", taken_ms);
+    observability::write_log(observability::log_level::info, "plan_accepted",
+        {{"plan", proposed_.revision}, {"version", to_string(at)}, {"changed_routes", std::uint64_t{proposed_.changed}},
+            {"removed_routes", std::uint64_t{proposed_.removed}}, {"took_ms", taken_ms},
+            {"waiting", std::uint64_t{waiting_.size()}}});
+}
+
 void route_plan_service::answer_overtaken()
 {
     const auto present = group_.state()->configuration.plan.revision;
@@ -81,6 +95,10 @@
 
 void route_plan_service::fail_all(order_status status)
 {
+    if (!waiting_.empty())
+        observability::write_log(observability::log_level::warning, "plans_given_up",
+            {{"plans", std::uint64_t{waiting_.size()}},
+                {"reason", status == order_status::not_leader ? "not_leader" : "unknown"}});
     for (const auto& it : std::exchange(waiting_, {}))
         it.done(status);
 }
@@ -89,9 +107,9 @@
 {
     group_.confirm_read([self = QPointer<route_plan_service>(this), done = std::move(done)](bool confirmed) {
         if (self && confirmed)
-            done(self->group_.plan_document());
-        else
-            done(std::nullopt);
+            return done(self->group_.plan_document());
+        observability::write_log(observability::log_level::warning, "read_unconfirmed", {});
+        done(std::nullopt);
     });
 }
 
@@ -102,15 +120,19 @@
         done(order_status::not_leader);
         return;
     }
-    group_.submit(make_command(configuration::set_domain_state{name, state}), [done = std::move(done)](const auto& it) {
-        if (it.status == submit_status::not_leader)
-            done(order_status::not_leader);
-        else if (it.status == submit_status::unknown || !it.outcome
-            || it.outcome->kind != configuration::outcome_kind::accepted)
-            done(order_status::unknown);
-        else
-            done(order_status::accepted);
-    });
+    group_.submit(make_command(configuration::set_domain_state{name, state}),
+        [name, state, done = std::move(done)](const auto& it) {
+            observability::write_log(observability::log_level::info, "domain_ordered",
+                {{"domain", name.value()}, {"state", configuration::to_string(state)}, {"version", to_string(it.at)},
+                    {"committed", it.status == submit_status::committed}});
+            if (it.status == submit_status::not_leader)
+                done(order_status::not_leader);
+            else if (it.status == submit_status::unknown || !it.outcome
+                || it.outcome->kind != configuration::outcome_kind::accepted)
+                done(order_status::unknown);
+            else
+                done(order_status::accepted);
+        });
 }
 
 configuration::command route_plan_service::make_command(configuration::change what) const
--- a/libraries/ibisdyke/frontends/route_plan_service.h
+++ b/libraries/ibisdyke/frontends/route_plan_service.h
@@ -59,7 +59,16 @@
         order_callback done;
     };
 
+    /// The plan in progress, for the log.
+    struct proposed_plan {
+        std::uint64_t revision = 0;
+        core::time_point since;
+        std::size_t changed = 0;
+        std::size_t removed = 0;
+    };
+
     void propose_next();
+    void log_accepted(const core::version& at);
     void on_result(const submit_result& result);
     void answer_overtaken();
     void fail_all(order_status status);
@@ -69,6 +78,7 @@
     observability::counter_sink& counters_;
     std::vector<waiting_plan> waiting_;
     bool proposing_ = false;
+    proposed_plan proposed_;
 };
 
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/settings_watcher.cpp
+++ b/libraries/ibisdyke/frontends/settings_watcher.cpp
@@ -34,10 +34,10 @@
             return;
         seen_ = std::move(text);
         on_change_(source_.reload());
-        observability::write_log(observability::log_level::info, "settings reloaded");
-    } catch (const core::error& it) {
         observability::write_log(
-            observability::log_level::error, std::string("settings not reloaded, the present ones stay: ") + it.what());
+            observability::log_level::info, "settings_reloaded", {{"bytes", std::uint64_t{seen_.size()}}});
+    } catch (const core::error& it) {
+        observability::write_log(observability::log_level::error, "settings_refused", {{"error", it.what()}});
     }
 }
 
--- a/libraries/ibisdyke/frontends/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/state_subscriber.cpp
@@ -219,6 +219,11 @@
 void state_subscriber::take(const dissemination::system_state_snapshot& next)
 {
     state_ = next;
+    const auto known_age = age();
+    observability::write_log(observability::log_level::info, "state_applied",
+        {{"version", to_string(next->applied)}, {"plan", next->configuration.plan.revision},
+            {"source", to_string(feed_->client->peer())},
+            {"vouched_ms_ago", known_age ? known_age->count() : std::int64_t{-1}}});
     std::vector<core::endpoint> relays;
     relays.reserve(next->membership.relays.size());
     for (const auto& [name, endpoint] : next->membership.relays)
@@ -245,8 +250,10 @@
     if (judged != dissemination::feed_state::silent && now - opened_ < min_feed_time)
         return;
     counters_.add("feeds_left", 1);
-    observability::write_log(observability::log_level::info,
-        "leaving the feed of " + to_string(feed_->client->peer()) + ": " + to_text(judged));
+    const auto known_age = age();
+    observability::write_log(observability::log_level::warning, "feed_left",
+        {{"source", to_string(feed_->client->peer())}, {"reason", to_text(judged)}, {"applied", to_string(applied())},
+            {"vouched_ms_ago", known_age ? known_age->count() : std::int64_t{-1}}});
     note_failure();
     open_next();
 }
@@ -275,4 +282,17 @@
         {"age_ms", known ? QJsonValue(static_cast<qint64>(known->count())) : QJsonValue()}};
 }
 
+void add_state_gauges(observability::counter_registry& counters, const state_subscriber& subscriber)
+{
+    counters.add_gauge("state_age_ms", [&subscriber] {
+        const auto age = subscriber.age();
+        return age ? static_cast<double>(age->count()) : -1;
+    });
+    counters.add_gauge("state_index",
+        [&subscriber] { return subscriber.state() ? static_cast<double>(subscriber.state()->applied.index) : 0; });
+    counters.add_gauge("plan_revision", [&subscriber] {
+        return subscriber.state() ? static_cast<double>(subscriber.state()->configuration.plan.revision) : 0;
+    });
+}
+
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/state_subscriber.h
+++ b/libraries/ibisdyke/frontends/state_subscriber.h
@@ -6,7 +6,7 @@
 #include "ibisdyke/dissemination/messages.h"
 #include "ibisdyke/dissemination/source_selector.h"
 #include "ibisdyke/dissemination/system_state.h"
-#include "ibisdyke/observability/counter_sink.h"
+#include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/transport/http2_client.h"
 #include "ibisdyke/transport/rpc_client.h"
@@ -126,4 +126,8 @@
     QTimer timer_;
 };
 
+/// Adds gauges of the version and age of the subscriber's state. The subscriber must outlive the last use of
+/// `counters`.
+void add_state_gauges(observability::counter_registry& counters, const state_subscriber& subscriber);
+
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/membership/messages.h
+++ b/libraries/ibisdyke/membership/messages.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ibisdyke::membership {
@@ -27,6 +28,24 @@
     gone,
 };
 
+/// Returns "starting", "active", "draining", "suspect" or "gone".
+constexpr std::string_view to_string(upstream_state it)
+{
+    switch (it) {
+    case upstream_state::starting:
+        return "starting";
+    case upstream_state::active:
+        return "active";
+    case upstream_state::draining:
+        return "draining";
+    case upstream_state::suspect:
+        return "suspect";
+    case upstream_state::gone:
+        break;
+    }
+    return "gone";
+}
+
 /// Whether an upstream in this state may take new flows. A suspect one may: with most of a service's leases ended, the
 /// control group is more likely cut off than the upstreams dead.
 constexpr bool is_eligible(upstream_state it)
--- a/libraries/ibisdyke/observability/counter_registry.cpp
+++ b/libraries/ibisdyke/observability/counter_registry.cpp
@@ -7,7 +7,14 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <boost/histogram.hpp>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
 #include <array>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace ibisdyke::observability {
 
@@ -17,7 +24,26 @@
 
 class distribution {
 public:
-    void add(double value) { samples_(value); }
+    void add(double value)
+    {
+        samples_(value);
+        histogram_(value);
+        sum_ += value;
+    }
+
+    prometheus::ClientMetric to_metric() const
+    {
+        prometheus::ClientMetric result;
+        auto& out = result.histogram;
+        out.sample_count = statistics::count(samples_);
+        out.sample_sum = sum_;
+        std::uint64_t below = 0;
+        for (const auto& bin : boost::histogram::indexed(histogram_, boost::histogram::coverage::all)) {
+            below += static_cast<std::uint64_t>(*bin);
+            out.bucket.push_back({below, bin.bin().upper()});
+        }
+        return result;
+    }
 
     QJsonObject to_json() const
     {
@@ -39,6 +65,13 @@
         statistics::stats<statistics::tag::count, statistics::tag::mean, statistics::tag::max,
             statistics::tag::extended_p_square_quantile>>
         samples_{statistics::extended_p_square_probabilities = probabilities};
+
+    using axis = boost::histogram::axis::variable<double>;
+
+    /// Upper bounds of the buckets; samples are times in milliseconds as a rule.
+    boost::histogram::histogram<std::tuple<axis>> histogram_ =
+        boost::histogram::make_histogram(axis{0.5, 1., 2., 5., 10., 20., 50., 100., 200., 500., 1000., 2000., 5000.});
+    double sum_ = 0;
 };
 
 } // namespace detail
@@ -69,6 +102,36 @@
     return *it->second;
 }
 
+void counter_registry::add_gauge(std::string_view name, std::function<double()> read)
+{
+    const std::scoped_lock lock(mutex_);
+    gauges_.insert_or_assign(std::string(name), std::move(read));
+}
+
+std::string counter_registry::to_text() const
+{
+    std::vector<prometheus::MetricFamily> families;
+    const auto add = [&families](const std::string& name, prometheus::MetricType type, prometheus::ClientMetric it) {
+        families.push_back({"ibisdyke_" + name, "", type, {std::move(it)}});
+    };
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const auto& [name, it] : counters_) {
+            prometheus::ClientMetric metric;
+            metric.counter.value = static_cast<double>(it->value());
+            add(name, prometheus::MetricType::Counter, std::move(metric));
+        }
+        for (const auto& [name, read] : gauges_) {
+            prometheus::ClientMetric metric;
+            metric.gauge.value = read();
+            add(name, prometheus::MetricType::Gauge, std::move(metric));
+        }
+        for (const auto& [name, it] : distributions_)
+            add(name, prometheus::MetricType::Histogram, it->to_metric());
+    }
+    return prometheus::TextSerializer().Serialize(families);
+}
+
 QJsonObject counter_registry::to_json() const
 {
     const std::scoped_lock lock(mutex_);
--- a/libraries/ibisdyke/observability/counter_registry.h
+++ b/libraries/ibisdyke/observability/counter_registry.h
@@ -43,6 +43,14 @@
     /// Returns the counter of that name, creating it at zero. The reference stays valid as long as the registry.
     counter& find(std::string_view name);
 
+    /// Adds a value that is read at each request for it, on the thread that asks; `read` must stay callable as long as
+    /// the registry.
+    void add_gauge(std::string_view name, std::function<double()> read);
+
+    /// Returns all of it in the text exposition format of Prometheus, with the prefix "ibisdyke_": counters, gauges,
+    /// and distributions as histograms.
+    std::string to_text() const;
+
     /// Returns {"counters": {name: value}, "distributions": {name: {"count", "mean", "p50", "p99", "max"}}}.
     QJsonObject to_json() const;
 
@@ -50,6 +58,7 @@
     mutable std::mutex mutex_;
     std::map<std::string, std::unique_ptr<counter>, std::less<>> counters_;
     std::map<std::string, std::unique_ptr<detail::distribution>, std::less<>> distributions_;
+    std::map<std::string, std::function<double()>, std::less<>> gauges_;
 };
 
 } // namespace ibisdyke::observability
--- a/libraries/ibisdyke/observability/log.cpp
+++ b/libraries/ibisdyke/observability/log.cpp
@@ -1,43 +1,348 @@
 #include "ibisdyke/observability/log.h"
 
+#include "ibisdyke/core/time.h"
+#include "ibisdyke/observability/log_limit.h"
+#include "ibisdyke/observability/log_output.h"
+
+#include <boost/log/attributes/clock.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
-#include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
-#include <iostream>
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <condition_variable>
+#include <csignal>
+#include <ctime>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <type_traits>
+#include <unistd.h>
+#include <utility>
 
 namespace ibisdyke::observability {
 
-void initialise_log(std::string_view process_name)
-{
-    namespace expressions = boost::log::expressions;
-    boost::log::add_common_attributes();
-    boost::log::core::get()->add_global_attribute(
-        "Process", boost::log::attributes::constant<std::string>(std::string(process_name)));
-    boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true,
-        boost::log::keywords::format = expressions::stream
-            << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f") << ' '
-            << boost::log::trivial::severity << ' ' << expressions::attr<std::string>("Process") << ": "
-            << expressions::smessage);
-}
+namespace {
+
+namespace sinks = boost::log::sinks;
+
+constexpr std::size_t max_waiting_lines = 1024;
+
+/// Lines are written together after this time, so that a busy process does not wake its writer for each.
+constexpr std::chrono::milliseconds batch_time{20};
+
+/// How often the counts of lines left out are written.
+constexpr std::chrono::seconds summary_period{1};
+
+std::atomic<std::uint64_t> overflowed{0}; // NOLINT: the queue's overflow strategy has no state of its own.
+
+/// Drops a line that the queue has no room for, and counts it.
+class drop_and_count {
+protected:
+    template <typename Lock>
+    bool on_overflow(const boost::log::record_view&, Lock&)
+    {
+        overflowed.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+
+    void on_queue_space_available() { }
+    void interrupt() { }
+};
+
+class output_backend final : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding> {
+public:
+    void consume(const boost::log::record_view&, const std::string& line) { output_.add(line); }
+    std::size_t write() { return output_.flush(); }
 
-void write_log(log_level level, const std::string& message)
+private:
+    log_output output_{STDOUT_FILENO};
+};
+
+using sink_type =
+    sinks::asynchronous_sink<output_backend, sinks::bounded_fifo_queue<max_waiting_lines, drop_and_count>>;
+
+const char* level_name(log_level it)
 {
-    switch (level) {
-    case log_level::info:
-        BOOST_LOG_TRIVIAL(info) << message;
-        break;
+    switch (it) {
     case log_level::warning:
-        BOOST_LOG_TRIVIAL(warning) << message;
-        break;
+        return "warning";
     case log_level::error:
-        BOOST_LOG_TRIVIAL(error) << message;
+        return "error";
+    case log_level::info:
         break;
     }
+    return "info";
+}
+
+core::time_point read_monotonic_clock()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return core::time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+/// The queue, its writer and the limits. One per process.
+class pipeline {
+public:
+    pipeline(const std::string& process_name, counter_sink& counters)
+        : counters_(counters)
+        , sink_(boost::make_shared<sink_type>(boost::make_shared<output_backend>(), false))
+    {
+        namespace expressions = boost::log::expressions;
+        sink_->set_formatter(expressions::stream
+            << "time=" << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+            << " level=" << expressions::attr<std::string>("Level") << " process=" << process_name << ' '
+            << expressions::smessage);
+        boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
+        boost::log::core::get()->add_sink(sink_);
+        writer_ = std::thread([this] { run(); });
+    }
+
+    pipeline(const pipeline&) = delete;
+    pipeline& operator=(const pipeline&) = delete;
+    pipeline(pipeline&&) = delete;
+    pipeline& operator=(pipeline&&) = delete;
+
+    ~pipeline()
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            stopping_ = true;
+        }
+        changed_.notify_one();
+        writer_.join();
+        boost::log::core::get()->remove_sink(sink_);
+    }
+
+    void write(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            if (!limit_.allows(event, read_monotonic_clock())) {
+                if (!std::exchange(has_suppressed_, true))
+                    changed_.notify_one();
+                return;
+            }
+        }
+        push(level, event, format_fields(fields));
+        {
+            const std::scoped_lock lock(mutex_);
+            waiting_ = true;
+        }
+        changed_.notify_one();
+    }
+
+private:
+    static void push(log_level level, std::string_view event, const std::string& fields)
+    {
+        boost::log::attribute_set attributes;
+        attributes.insert("Level", boost::log::attributes::constant<std::string>(level_name(level)));
+        auto record = boost::log::core::get()->open_record(attributes);
+        if (!record)
+            return;
+        boost::log::record_ostream stream(record);
+        stream << "event=" << event;
+        if (!fields.empty())
+            stream << ' ' << fields;
+        stream.flush();
+        boost::log::core::get()->push_record(std::move(record));
+    }
+
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        while (true) {
+            if (has_suppressed_)
+                changed_.wait_for(lock, summary_period, [this] { return waiting_ || stopping_; });
+            else
+                changed_.wait(lock, [this] { return waiting_ || stopping_ || has_suppressed_; });
+            const bool last = stopping_;
+            waiting_ = false;
+            lock.unlock();
+            if (!last)
+                std::this_thread::sleep_for(batch_time);
+            write_summary();
+            sink_->feed_records();
+            count_dropped(sink_->locked_backend()->write() + overflowed.exchange(0));
+            lock.lock();
+            if (last)
+                return;
+        }
+    }
+
+    void write_summary()
+    {
+        std::vector<std::pair<std::string, std::uint64_t>> suppressed;
+        {
+            const std::scoped_lock lock(mutex_);
+            const auto now = read_monotonic_clock();
+            if (!has_suppressed_ || (now - summarised_ < summary_period && !stopping_))
+                return;
+            summarised_ = now;
+            has_suppressed_ = false;
+            suppressed = limit_.take_suppressed();
+        }
+        for (const auto& [event, n] : suppressed) {
+            push(log_level::warning, "lines_left_out", format_fields({{"of", event}, {"lines", n}}));
+            counters_.add("log_lines_left_out", n);
+        }
+    }
+
+    void count_dropped(std::size_t n)
+    {
+        if (n > 0)
+            counters_.add("log_lines_dropped", n);
+    }
+
+    counter_sink& counters_;
+    boost::shared_ptr<sink_type> sink_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    log_limit limit_{lines_per_second};
+    bool waiting_ = false;
+    bool has_suppressed_ = false;
+    bool stopping_ = false;
+    core::time_point summarised_{};
+    std::thread writer_;
+};
+
+std::unique_ptr<pipeline>& present_pipeline()
+{
+    static std::unique_ptr<pipeline> result;
+    return result;
+}
+
+bool needs_quotes(std::string_view text)
+{
+    return text.empty() || text.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
+}
+
+void append(std::string& out, const std::string& text)
+{
+    if (!needs_quotes(text)) {
+        out += text;
+        return;
+    }
+    out += '"';
+    for (const char it : text) {
+        if (it == '"' || it == '\\')
+            out += '\\';
+        out += static_cast<unsigned char>(it) < ' ' ? ' ' : it;
+    }
+    out += '"';
+}
+
+void append(std::string& out, bool value)
+{
+    out += value ? "true" : "false";
+}
+
+template <typename Number>
+requires std::is_arithmetic_v<Number>
+void append(std::string& out, Number value)
+{
+    constexpr std::size_t max_digits = 32;
+    std::array<char, max_digits> digits{};
+    const auto [end, ec] = std::to_chars(digits.data(), digits.data() + digits.size(), value);
+    if (ec == std::errc{})
+        out.append(digits.data(), end);
+}
+
+} // namespace
+
+log_field::log_field(std::string_view name, std::string value)
+    : name_(name)
+    , value_(std::move(value))
+{
+}
+
+log_field::log_field(std::string_view name, std::string_view value)
+    : name_(name)
+    , value_(std::string(value))
+{
+}
+
+log_field::log_field(std::string_view name, const char* value)
+    : name_(name)
+    , value_(std::string(value))
+{
+}
+
+log_field::log_field(std::string_view name, bool value)
+    : name_(name)
+    , value_(value)
+{
+}
+
+log_field::log_field(std::string_view name, double value)
+    : name_(name)
+    , value_(value)
+{
+}
+
+log_field::log_field(std::string_view name, int value)
+    : name_(name)
+    , value_(std::int64_t{value})
+{
+}
+
+log_field::log_field(std::string_view name, std::int64_t value)
+    : name_(name)
+    , value_(value)
+{
+}
+
+log_field::log_field(std::string_view name, std::uint32_t value)
+    : name_(name)
+    , value_(std::uint64_t{value})
+{
+}
+
+log_field::log_field(std::string_view name, std::uint64_t value)
+    : name_(name)
+    , value_(value)
+{
+}
+
+std::string format_fields(std::initializer_list<log_field> fields)
+{
+    std::string result;
+    for (const auto& it : fields) {
+        if (!result.empty())
+            result += ' ';
+        result += it.name();
+        result += '=';
+        std::visit([&result](const auto& value) { append(result, value); }, it.value());
+    }
+    return result;
+}
+
+void initialise_log(std::string_view process_name, counter_sink& counters)
+{
+    // A reader that has gone shows as a failed write.
+    std::signal(SIGPIPE, SIG_IGN);
+    present_pipeline() = std::make_unique<pipeline>(std::string(process_name), counters);
+}
+
+void finish_log()
+{
+    present_pipeline().reset();
+}
+
+void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (const auto& it = present_pipeline())
+        it->write(level, event, fields);
 }
 
 } // namespace ibisdyke::observability
--- /dev/null
+++ b/libraries/ibisdyke/routing/decision_names.cpp
@@ -0,0 +1,66 @@
+#include "ibisdyke/routing/decision_names.h"
+
+namespace ibisdyke::routing {
+
+std::string_view to_string(packet_reason it)
+{
+    switch (it) {
+    case packet_reason::none:
+        return "none";
+    case packet_reason::foreign:
+        return "foreign";
+    case packet_reason::too_many_hops:
+        return "too_many_hops";
+    case packet_reason::domain_out:
+        return "domain_out";
+    case packet_reason::unknown_flow:
+        return "unknown_flow";
+    case packet_reason::no_capacity:
+        return "no_capacity";
+    case packet_reason::table_full:
+        return "table_full";
+    case packet_reason::withdrawn:
+        return "withdrawn";
+    case packet_reason::overloaded:
+        return "overloaded";
+    case packet_reason::yields:
+        return "yields";
+    case packet_reason::answer_limit:
+        break;
+    }
+    return "answer_limit";
+}
+
+std::string_view to_string(packet_action it)
+{
+    switch (it) {
+    case packet_action::deliver:
+        return "deliver";
+    case packet_action::place:
+        return "place";
+    case packet_action::adopt:
+        return "adopt";
+    case packet_action::forward:
+        return "forward";
+    case packet_action::reject:
+        return "reject";
+    case packet_action::drop:
+        break;
+    }
+    return "drop";
+}
+
+std::string_view to_string(search_phase it)
+{
+    switch (it) {
+    case search_phase::find:
+        return "find";
+    case search_phase::place:
+        return "place";
+    case search_phase::assign:
+        break;
+    }
+    return "assign";
+}
+
+} // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/packet_facts.h
+++ b/libraries/ibisdyke/routing/packet_facts.h
@@ -25,6 +25,8 @@
     packet_kind kind = packet_kind::datagram;
     /// Size of the packet.
     std::uint32_t size_bytes = 0;
+    /// The packet's sequence number, where its format has one.
+    std::uint32_t sequence = 0;
     /// The packet is known to be the first of its flow, so that no member can know the flow yet.
     bool is_first = false;
     /// How often the caller has sent a SYN before, where its format tells: the caller has waited as long.
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -119,6 +119,7 @@
         frontends::subscriber_settings{identity.name, frontends::peer_endpoints(values, "control"),
             values.endpoints("peers"), std::nullopt, identity.source_address, {}},
         host_.counters(), meter, nullptr);
+    frontends::add_state_gauges(host_.counters(), *subscriber_);
     subscriber_->on_state([this](const auto& state) { take_state(state); });
     heartbeats_ = std::make_unique<frontends::heartbeat_sender>(
         frontends::peer_endpoints(values, "control"), identity.source_address, host_.counters(), meter,
@@ -143,7 +144,7 @@
     if (values.is_empty("listen-health"))
         return;
     health_server_ = std::make_unique<QHttpServer>();
-    world.serve_health(*health_server_, [this] { return check_health(); });
+    world.serve_health(*health_server_, frontends::logged([this] { return check_health(); }));
     frontends::listen(*health_server_, values.endpoint("listen-health"));
 }
 
@@ -191,6 +192,9 @@
 
 frontends::exit_code agent_process::run()
 {
+    host_.counters().add_gauge("open_flows", [this] { return static_cast<double>(receiver_->view().active_flows); });
+    host_.counters().add_gauge(
+        "accepts_flows", [this] { return facts_.load() && facts_.load()->admission.accepts_new_flows ? 1 : 0; });
     receiver_->start();
     subscriber_->start();
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { on_tick(); });
@@ -238,8 +242,10 @@
     const auto state = presence_->state(transport::read_clock());
     if (state == std::exchange(announced_, state))
         return;
-    observability::write_log(
-        observability::log_level::info, "upstream is " + std::string(membership::to_string(state)));
+    const auto& latest = presence_->latest();
+    observability::write_log(observability::log_level::info, "upstream_state",
+        {{"state", membership::to_string(state)}, {"id", latest ? latest->id : ""},
+            {"born_ms", latest ? latest->born_ms : 0}, {"sequence", latest ? latest->sequence : 0}, {"slots", slots_}});
     if (heartbeats_started_)
         heartbeats_->send_now();
 }
@@ -292,8 +298,8 @@
 {
     id_ = id;
     restarted_ = is_restart_of(id);
-    observability::write_log(observability::log_level::info,
-        std::string(restarted_ ? "resumed" : "announced") + " as upstream " + std::to_string(id.value()));
+    observability::write_log(observability::log_level::info, restarted_ ? "upstream_resumed" : "upstream_joined",
+        {{"upstream", id.value()}});
     publish_identity();
 }
 
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -99,6 +99,7 @@
     subscriptions_ = std::make_unique<frontends::subscription_server>(
         router_, host_.counters(), [this] { return subscriber_->age(); }, dissemination::default_max_subscribers,
         nullptr);
+    frontends::add_state_gauges(host_.counters(), *subscriber_);
     subscriber_->on_state([this](const auto& state) { take_state(state); });
     subscriber_->on_keep_alive([this] { subscriptions_->send_keep_alives(); });
     peer_server_ = transport::http2_server::create(values.endpoint("listen-peer"), {}, router_, meter, host_.parent());
@@ -136,7 +137,7 @@
     if (values.is_empty("listen-health"))
         return;
     health_server_ = std::make_unique<QHttpServer>();
-    world.serve_health(*health_server_, [this] { return check_health(); });
+    world.serve_health(*health_server_, frontends::logged([this] { return check_health(); }));
     frontends::listen(*health_server_, values.endpoint("listen-health"));
 }
 
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -130,8 +130,7 @@
         throw core::invalid_input("--recover-alone", confirmed, "a term and an index, such as 3.120");
     const auto batch = replication::recover_alone(storage.load(), self, storage.disk(), *version);
     storage.persist(batch);
-    observability::write_log(observability::log_level::warning,
-        "this process is now the only member of its group, in term " + std::to_string(batch.ballot->term));
+    observability::write_log(observability::log_level::warning, "recovered_alone", {{"term", batch.ballot->term}});
 }
 
 } // namespace
@@ -236,8 +235,19 @@
     frontends::listen(*operators_server_, values.endpoint("listen-operators"));
 }
 
+void control_process::add_gauges()
+{
+    auto& counters = host_->counters();
+    counters.add_gauge("group_leads", [this] { return group_->is_leader() ? 1 : 0; });
+    counters.add_gauge("group_term", [this] { return static_cast<double>(group_->node().term()); });
+    counters.add_gauge("group_committed", [this] { return static_cast<double>(group_->node().committed()); });
+    counters.add_gauge("group_members", [this] { return static_cast<double>(group_->members().size()); });
+    counters.add_gauge("plan_revision", [this] { return static_cast<double>(group_->plan_document().revision); });
+}
+
 frontends::exit_code control_process::run()
 {
+    add_gauges();
     return host_->run(
         {group_.get(), leases_.get(), subscriptions_.get()}, [this] { return check_health(); }, [this] { stop(); },
         [this](QHttpServer& server) { api_->serve(server); });
--- a/services/control/control_process.h
+++ b/services/control/control_process.h
@@ -35,6 +35,7 @@
 private:
     void create_upkeep(const settings::setting_values& values, const replication::raft_options& options);
     void create_operators_server(const settings::setting_values& values, const frontends::front_end& world);
+    void add_gauges();
     void ensure_bootstrap_token();
     void stop();
     frontends::health check_health() const;
