--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -13,10 +13,9 @@
     , log_(stored)
     , committed_(std::clamp(stored.committed, log_.start().index, log_.last().index))
 {
-    if (log_.empty())
-        reset_election_timer(now);
-    else
-        set_election_timer(now, options_.heartbeat, std::max(options_.heartbeat, options_.max_first_timeout));
+    if (!log_.empty())
+        restarts_until_ = now + options_.restart_time;
+    reset_election_timer(now);
 }
 
 output raft_node::step(const message& received, core::time_point now)
@@ -84,7 +83,11 @@
 
 void raft_node::reset_election_timer(core::time_point now)
 {
-    set_election_timer(now, options_.min_election_timeout, options_.max_election_timeout);
+    // Only a member that has not heard of a leader since its start is in a hurry.
+    const bool hurries = now < restarts_until_ && !has_heard_leader_;
+    const auto shortest = hurries ? options_.heartbeat : options_.min_election_timeout;
+    const auto longest = hurries ? options_.max_restart_timeout : options_.max_election_timeout;
+    set_election_timer(now, shortest, std::max(shortest, longest));
 }
 
 void raft_node::set_election_timer(core::time_point now, core::milliseconds shortest, core::milliseconds longest)
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -28,9 +28,11 @@
     /// A follower that hears nothing from a leader holds an election after a random time between these two.
     core::milliseconds min_election_timeout{150};
     core::milliseconds max_election_timeout{300};
-    /// The first election after a start, when the member has a log, comes after a random time up to this: a living
-    /// leader is heard of sooner, and when all members have restarted every wait adds to the time without control.
-    core::milliseconds max_first_timeout{150};
+    /// Within `restart_time` after a start, a member that has a log waits for a random time up to this before it holds
+    /// an election: a living leader is heard of sooner, and when all members have restarted every wait adds to the time
+    /// without control.
+    core::milliseconds max_restart_timeout{150};
+    core::milliseconds restart_time{2'000};
     std::size_t max_append_bytes = std::size_t{1024} * 1024;
     std::size_t snapshot_chunk_bytes = std::size_t{1024} * 1024;
     /// Log entries kept in memory after a snapshot, so that a member that is a few entries behind needs no snapshot.
@@ -177,6 +179,8 @@
 
     raft_options options_;
     std::mt19937_64 random_;
+    /// Elections are held sooner until then.
+    core::time_point restarts_until_{};
     vote ballot_;
     raft_log log_;
     std::uint64_t committed_ = 0;
