--- a/libraries/ibisdyke/frontends/admin_server.cpp
+++ b/libraries/ibisdyke/frontends/admin_server.cpp
@@ -22,7 +22,7 @@
 {
     // The function may be copied; its copies share what was seen last.
     return [check = std::move(check), last = std::make_shared<std::optional<health>>()] {
-        const auto it = check();
+        auto it = check();
         if (*last != it)
             observability::write_log(
                 observability::log_level::info, "health_changed", {{"healthy", it.healthy}, {"reason", it.reason}});
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -64,9 +64,9 @@
         bool operator()(const event& a, const event& b) const { return a.first > b.first; }
     };
 
-    void at(core::time_point time, std::function<void()> run_event)
+    void at(core::time_point time, const std::function<void()>& run_event)
     {
-        events_.push({{time, ++event_count_}, std::move(run_event)});
+        events_.push({{time, ++event_count_}, run_event});
     }
 
     void send(std::uint32_t caller, std::uint32_t copies, core::time_point first)
@@ -120,7 +120,7 @@
 TEST_CASE("under twice the load that upstreams bear, the flows that are taken are answered in time")
 {
     loaded_hosts hosts(7);
-    const auto bearable = 7 * slots * (1s / service_time);
+    const auto bearable = std::int64_t{7} * slots * (1s / service_time);
     const auto done = hosts.run(evenly(static_cast<std::size_t>(2 * bearable), 1s));
     CHECK(done.in_time > static_cast<std::size_t>(bearable * 9 / 10));
     CHECK(done.late < static_cast<std::size_t>(bearable / 20));
@@ -131,7 +131,7 @@
 TEST_CASE("below the load that upstreams bear, hardly a flow is refused")
 {
     loaded_hosts hosts(7);
-    const auto bearable = 7 * slots * (1s / service_time);
+    const auto bearable = std::int64_t{7} * slots * (1s / service_time);
     const auto done = hosts.run(evenly(static_cast<std::size_t>(bearable * 7 / 10), 1s));
     CHECK(done.refused == 0);
     CHECK(done.late == 0);
