dissemination: Leave sources that have no state to give

Cause: after a loss of power with a wiped control process the wiped one starts first, and 16 of 17 agents and balancers subscribed to it. Feeds to machines without power were given up after 200 ms, so a walk through three took 0.6 s.

Change: a feed that has delivered no state to a subscriber without one is left after the limit of its first message. That limit is 60 ms for the first two walks and doubles up to 1 s. A test of the monitor fails without the change.

--- a/libraries/ibisdyke/dissemination/feed_monitor.cpp
+++ b/libraries/ibisdyke/dissemination/feed_monitor.cpp
@@ -6,8 +6,8 @@
 
 core::milliseconds first_message_limit(const feed_limits& limits, std::size_t failures)
 {
-    // Three feeds, as many as there are control processes at least, before the time is doubled.
-    constexpr std::size_t tries_per_step = 3;
+    // Two walks through three control processes before the time is doubled.
+    constexpr std::size_t tries_per_step = 6;
     constexpr std::size_t max_doublings = 8;
     const auto doublings = std::min(failures / tries_per_step, max_doublings);
     return std::min(limits.first_try * (std::int64_t{1} << doublings), limits.first_message);
@@ -39,6 +39,9 @@
         return now - opened_ >= limits_.first_message ? feed_state::silent : feed_state::opening;
     if (now - last_message_ >= limits_.silence)
         return feed_state::silent;
+    constexpr core::version none;
+    if (applied == none && *offered_ == none && now - opened_ >= limits_.first_message)
+        return feed_state::empty;
     if (hint_ > applied && now - hinted_ >= limits_.hint_patience)
         return feed_state::behind;
     if (*offered_ < applied && now - opened_ >= limits_.catch_up)
--- a/libraries/ibisdyke/dissemination/feed_monitor.h
+++ b/libraries/ibisdyke/dissemination/feed_monitor.h
@@ -12,10 +12,10 @@
 
 /// The times of a subscription.
 struct feed_limits {
-    /// A feed that sent nothing since it was opened is given up after this time at most; see first_message_limit().
+    /// A feed that sent no state since it was opened is given up after this time at most; see first_message_limit().
     core::milliseconds first_message{1000};
     /// The same for the first feed of a process.
-    core::milliseconds first_try{200};
+    core::milliseconds first_try{60};
     /// A feed that has been silent for this long is given up. Keep-alives come each second.
     core::milliseconds silence{1800};
     /// A feed that no control process in touch with a leader has vouched for within this time is not current.
@@ -37,6 +37,8 @@
     cut_off,
     /// Delivers nothing.
     silent,
+    /// Has no state, and neither has the subscriber: the source has lost its folder, or belongs to no group yet.
+    empty,
     /// Lacks a version that the subscriber has applied or that was seen elsewhere.
     behind,
 };
--- a/libraries/ibisdyke/dissemination/tests/feed_monitor_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/feed_monitor_test.cpp
@@ -33,6 +33,23 @@
     CHECK(state() == feed_state::silent);
 }
 
+// Guards against processes without a state that stay with a control process that has lost its folder, while the others
+// have the state.
+TEST_CASE_METHOD(feed_fixture, "a subscriber without a state leaves a source without one")
+{
+    feed_limits limits;
+    limits.first_message = 60ms;
+    feed_monitor monitor(limits, now_);
+    monitor.on_keep_alive({{}, 1h}, now_);
+    now_ += 50ms;
+    CHECK(monitor.state({}, now_) != feed_state::empty);
+    now_ += 10ms;
+    CHECK(monitor.state({}, now_) == feed_state::empty);
+    CHECK(monitor.state(applied, now_) != feed_state::empty);
+    monitor.on_version(applied, now_);
+    CHECK(monitor.state({}, now_) != feed_state::empty);
+}
+
 // Guards against a subscriber that stays with a paused control process for longer than 2 s.
 TEST_CASE_METHOD(feed_fixture, "a feed that stops is silent within 2 s")
 {
--- a/libraries/ibisdyke/frontends/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/state_subscriber.cpp
@@ -16,14 +16,14 @@
 namespace {
 
 /// How often the feed is judged.
-constexpr core::milliseconds check_period{50};
+constexpr core::milliseconds check_period{20};
 
 /// A feed that is cut off or behind is kept for this long after it was opened, so that a subscriber without any current
 /// source walks through them once a second.
 constexpr core::milliseconds min_feed_time{1000};
 
 /// The pause after a source that failed at once, for example with a closed port.
-constexpr core::milliseconds retry_pause{100};
+constexpr core::milliseconds retry_pause{50};
 
 /// What each relay adds to the age of a feed besides the time that has passed, so that the age grows in a circle of
 /// relays however fast they are.
@@ -40,6 +40,8 @@
         return "cut off";
     case dissemination::feed_state::silent:
         return "silent";
+    case dissemination::feed_state::empty:
+        return "empty";
     case dissemination::feed_state::behind:
         break;
     }
@@ -247,7 +249,8 @@
     const auto judged = feed_->monitor.state(applied(), now);
     if (judged == dissemination::feed_state::opening || judged == dissemination::feed_state::current)
         return;
-    if (judged != dissemination::feed_state::silent && now - opened_ < min_feed_time)
+    const bool delivers = judged != dissemination::feed_state::silent && judged != dissemination::feed_state::empty;
+    if (delivers && now - opened_ < min_feed_time)
         return;
     counters_.add("feeds_left", 1);
     const auto known_age = age();
