routing: Let callers come again while an overload is young

Cause: a caller that is reset tries again within 3 to 10 ms, so the three attempts of a request were refused within 20 ms of a recovery, while upstreams had free slots 0.2 s later.

Change: a first SYN that would be answered late is dropped, so that its caller comes again with a copy after 200 ms, which waits behind flows that can still be answered in time. Once the upstream has had no free slot for 600 ms, which is as long as callers go on with copies, the excess is refused at once as before.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -11,6 +11,10 @@
 /// The share of a route's latency target that the upstream may take; the rest is for the network and for variation.
 constexpr int upstream_share_percent = 50;
 
+/// An upstream without a free slot for this long is not likely to have one when a caller comes again: as long as
+/// callers take to send their last copy of a SYN.
+constexpr core::milliseconds lasting_overload{600};
+
 /// A caller gives its attempt up after it has sent this copy of a SYN.
 constexpr std::uint32_t last_copy = 2;
 
@@ -401,7 +405,7 @@
     if (!names(header, facts))
         return dropped(packet_reason::foreign);
     flows_.erase(packet.flow);
-    pending_.forget(packet.flow);
+    pending_.forget(packet.flow, now);
     auto next = header;
     next.asked |= 1U << header.position;
     if (may_start_flow(packet.kind)) {
@@ -481,11 +485,23 @@
         const auto next = *header.fallback;
         return pass_along(packet, std::move(header), next, search_phase::assign, now);
     }
-    if (refused == packet_reason::yields && packet.copies < last_copy)
-        return dropped(packet_reason::yields);
+    if (refused && may_come_again(packet, *refused, now))
+        return dropped(*refused);
     return rejected(refused.value_or(packet_reason::no_capacity));
 }
 
+/// Whether the caller is to come again with the next copy of its SYN instead of being refused: it has one left, and the
+/// upstream had a free slot so lately that it may have one again by then. A caller that is refused tries again at once.
+bool flow_agent::may_come_again(const packet_facts& packet, packet_reason refused, core::time_point now) const
+{
+    if (packet.copies >= last_copy)
+        return false;
+    if (refused == packet_reason::yields)
+        return true;
+    const auto since = pending_.busy_since();
+    return refused == packet_reason::overloaded && (!since || now - *since < lasting_overload);
+}
+
 /// Returns why this agent does not take the new flow now, or nothing when it may. Under more load than the upstreams
 /// bear, a long queue makes every answer late: flows are refused as soon as their answers would be, and flows that have
 /// waited already leave the slots to those that can still be answered in time.
@@ -628,7 +644,7 @@
         pending_.answer(flow, now);
     if (kind != packet_kind::closing)
         return;
-    pending_.forget(flow);
+    pending_.forget(flow, now);
     flows_.close(flow, now);
 }
 
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -127,6 +127,7 @@
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static bool search_next_service(const packet_facts& packet, packet_header& header, const agent_facts& facts);
     std::optional<packet_reason> refusal(const packet_facts& packet, const agent_facts& facts, core::time_point now);
+    bool may_come_again(const packet_facts& packet, packet_reason refused, core::time_point now) const;
     packet_decision place_disowned(
         const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now);
     static packet_decision misdirected(
--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -22,6 +22,21 @@
     const request begun{now, waiting()};
     if (requests_.insert_or_assign(flow, begun).second)
         order_.emplace_back(now, flow);
+    note_slots(now);
+}
+
+void pending_requests::forget(const flow_key& flow, core::time_point now)
+{
+    requests_.erase(flow);
+    note_slots(now);
+}
+
+void pending_requests::note_slots(core::time_point now)
+{
+    if (waiting() == 0)
+        busy_since_.reset();
+    else if (!busy_since_)
+        busy_since_ = now;
 }
 
 void pending_requests::answer(const flow_key& flow, core::time_point now)
@@ -33,6 +48,7 @@
     const auto sample = taken * per_mille / (per_mille + it->second.waiting);
     service_time_ = service_time_ ? *service_time_ + (sample - *service_time_) / sample_divisor : sample;
     requests_.erase(it);
+    note_slots(now);
 }
 
 void pending_requests::expire(core::time_point now)
@@ -48,6 +64,7 @@
         else
             order_.emplace_back(it->second.since, flow);
     }
+    note_slots(now);
 }
 
 std::uint32_t pending_requests::waiting() const
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -30,7 +30,7 @@
     void answer(const flow_key& flow, core::time_point now);
 
     /// The flow has ended, or the upstream does not hold it.
-    void forget(const flow_key& flow) { requests_.erase(flow); }
+    void forget(const flow_key& flow, core::time_point now);
 
     void expire(core::time_point now);
 
@@ -39,6 +39,9 @@
     /// Returns the requests beyond the free slots, in thousandths of the slots; 0 while a slot is free.
     std::uint32_t waiting() const;
 
+    /// Returns since when the upstream has had no free slot. Nothing while one is free.
+    std::optional<core::time_point> busy_since() const { return busy_since_; }
+
     /// Returns how long the upstream works on a request, as its answers show. Nothing before the first answer.
     std::optional<std::chrono::nanoseconds> service_time() const { return service_time_; }
 
@@ -52,10 +55,13 @@
         std::uint32_t waiting = 0;
     };
 
+    void note_slots(core::time_point now);
+
     std::uint32_t slots_ = 0;
     std::unordered_map<flow_key, request> requests_;
     std::deque<std::pair<core::time_point, flow_key>> order_;
     std::optional<std::chrono::nanoseconds> service_time_;
+    std::optional<core::time_point> busy_since_;
 };
 
 } // namespace ibisdyke::routing
