replication: Wait for room when the disk of the data folder is full

The group then answers nothing, does not lead and vouches for no leader until the same writes have been made; at the start the process waits. Other failures of the storage, a failed sync among them, still end the process, since what they leave is unknown.

Found on the way: a change of members was put into the log in memory before the state of the storage was looked at.

--- a/libraries/ibisdyke/core/error.h
+++ b/libraries/ibisdyke/core/error.h
@@ -39,4 +39,10 @@
     using error::error;
 };
 
+/// A disk without room for what was to be written. Nothing of it was written; the call may be made again.
+class storage_full : public system_failure {
+public:
+    using system_failure::system_failure;
+};
+
 } // namespace ibisdyke::core
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -25,6 +25,9 @@
 /// A commit that no further write follows is recorded after this time, so that a burst of changes costs one write.
 constexpr core::milliseconds commit_record_delay{300};
 
+/// How often a full disk is tried again.
+constexpr core::milliseconds room_check_period{250};
+
 const char* role_name(replication::raft_role it)
 {
     switch (it) {
@@ -86,7 +89,7 @@
 bool replicated_control_group::is_leader() const
 {
     // The state holds every committed record only once it holds one of this leader's own term.
-    return !failed_ && node_->leads(transport::read_clock()) && applied_.term == node_->term();
+    return is_usable() && node_->leads(transport::read_clock()) && applied_.term == node_->term();
 }
 
 const replication::member* replicated_control_group::find_member(core::control_id id) const
@@ -104,11 +107,17 @@
     return node_->has_heard_leader(within, transport::read_clock());
 }
 
-std::optional<core::endpoint> replicated_control_group::leader() const
+/// Returns the leader that this member can vouch for. One that writes nothing hears nothing from the leader either.
+const replication::member* replicated_control_group::find_leader() const
 {
     const auto id = node_->leader();
-    const bool stale = id == options_.raft.self && !is_leader();
-    const auto* const it = id && !stale ? find_member(*id) : nullptr;
+    const bool stale = !is_usable() || (id == options_.raft.self && !is_leader());
+    return id && !stale ? find_member(*id) : nullptr;
+}
+
+std::optional<core::endpoint> replicated_control_group::leader() const
+{
+    const auto* const it = find_leader();
     return it == nullptr ? std::nullopt : std::optional(it->peer_endpoint);
 }
 
@@ -122,9 +131,7 @@
 
 std::optional<core::endpoint> replicated_control_group::leader_admin() const
 {
-    const auto id = node_->leader();
-    const bool stale = id == options_.raft.self && !is_leader();
-    const auto* const it = id && !stale ? find_member(*id) : nullptr;
+    const auto* const it = find_leader();
     return it == nullptr ? std::nullopt : std::optional(it->admin_endpoint);
 }
 
@@ -151,7 +158,7 @@
 void replicated_control_group::confirm_read(std::function<void(bool)> done)
 {
     replication::output result;
-    const auto read = failed_ ? std::nullopt : node_->begin_read(transport::read_clock(), result);
+    const auto read = !is_usable() ? std::nullopt : node_->begin_read(transport::read_clock(), result);
     if (!read) {
         done(false);
         return;
@@ -162,20 +169,22 @@
 
 void replicated_control_group::add_member(const replication::member& added, change_callback done)
 {
+    if (!is_usable())
+        return done(replication::proposal_status::not_leader);
     propose_change(node_->add_member(added, transport::read_clock()), std::move(done));
 }
 
 void replicated_control_group::remove_member(core::control_id id, change_callback done)
 {
+    if (!is_usable())
+        return done(replication::proposal_status::not_leader);
     propose_change(node_->remove_member(id, transport::read_clock()), std::move(done));
 }
 
 void replicated_control_group::propose_change(replication::proposal made, change_callback done)
 {
-    if (failed_ || made.status != replication::proposal_status::appended) {
-        done(failed_ ? replication::proposal_status::not_leader : made.status);
-        return;
-    }
+    if (made.status != replication::proposal_status::appended)
+        return done(made.status);
     changes_[made.at.index] = {made.at, std::move(done)};
     enqueue({std::move(made.result), std::nullopt, nullptr});
 }
@@ -202,7 +211,7 @@
 
 void replicated_control_group::on_call(const std::string& body, const responder& answer)
 {
-    if (failed_) {
+    if (!is_usable()) {
         answer->refuse();
         return;
     }
@@ -217,7 +226,7 @@
 
 void replicated_control_group::on_message(const std::string& body)
 {
-    if (failed_ || body.empty())
+    if (!is_usable() || body.empty())
         return;
     try {
         enqueue({node_->step(replication::wire::decode_message(body), transport::read_clock()), std::nullopt, nullptr});
@@ -228,7 +237,7 @@
 
 void replicated_control_group::on_timer()
 {
-    if (!failed_)
+    if (is_usable())
         enqueue({node_->tick(transport::read_clock()), std::nullopt, nullptr});
 }
 
@@ -244,19 +253,15 @@
 void replicated_control_group::flush()
 {
     flush_scheduled_ = false;
-    const auto batch = std::exchange(work_, {});
-    try {
-        persist(batch);
-    } catch (const std::exception& e) {
-        failed_ = true;
-        timer_.stop();
-        observability::write_log(observability::log_level::error, "storage_failed", {{"error", e.what()}});
-        fail_waiting();
-        if (on_failure_)
-            on_failure_(e.what());
+    if (!is_usable())
         return;
+    for (auto& it : std::exchange(work_, {})) {
+        add_writes(it.result);
+        written_.push_back(std::move(it));
     }
-    for (const auto& it : batch)
+    if (!write_out())
+        return;
+    for (const auto& it : std::exchange(written_, {}))
         carry_out(it);
     compact();
     note_role();
@@ -265,29 +270,66 @@
         commit_timer_.start(commit_record_delay);
 }
 
-void replicated_control_group::persist(const std::vector<work>& batch)
-{
-    replication::write_batch joined;
-    for (const auto& it : batch) {
-        const auto& writes = it.result.writes;
-        if (writes.base)
-            write(std::exchange(joined, {}));
-        if (writes.ballot)
-            joined.ballot = writes.ballot;
-        if (writes.base)
-            joined.base = writes.base;
-        joined.entries.insert(joined.entries.end(), writes.entries.begin(), writes.entries.end());
-        joined.committed = std::max(joined.committed, writes.committed);
-        if (writes.base)
-            write(std::exchange(joined, {}));
+/// Joins the writes with those that wait, so that one sync is enough for them. A snapshot is written by itself.
+void replicated_control_group::add_writes(const replication::output& from)
+{
+    const auto& writes = from.writes;
+    if (writes.empty())
+        return;
+    if (unwritten_.empty() || unwritten_.back().base || writes.base)
+        unwritten_.emplace_back();
+    auto& joined = unwritten_.back();
+    if (writes.ballot)
+        joined.ballot = writes.ballot;
+    if (writes.base)
+        joined.base = writes.base;
+    joined.entries.insert(joined.entries.end(), writes.entries.begin(), writes.entries.end());
+    joined.committed = std::max(joined.committed, writes.committed);
+}
+
+/// Writes what waits. Returns false when the storage has not taken it.
+bool replicated_control_group::write_out()
+{
+    try {
+        for (; !unwritten_.empty(); unwritten_.pop_front())
+            write(unwritten_.front());
+        return true;
+    } catch (const core::storage_full& e) {
+        wait_for_room(e.what());
+    } catch (const std::exception& e) {
+        fail_storage(e.what());
     }
-    write(joined);
+    return false;
+}
+
+void replicated_control_group::wait_for_room(const std::string& why)
+{
+    if (std::exchange(storage_state_, storage_state::full) != storage_state::full) {
+        counters_.add("storage_full", 1);
+        observability::write_log(observability::log_level::error, "storage_full", {{"error", why}});
+        fail_waiting();
+    }
+    QTimer::singleShot(room_check_period, this, [this] {
+        if (!write_out())
+            return;
+        storage_state_ = storage_state::usable;
+        observability::write_log(observability::log_level::info, "storage_has_room", {});
+        flush();
+    });
+}
+
+void replicated_control_group::fail_storage(const std::string& why)
+{
+    storage_state_ = storage_state::failed;
+    timer_.stop();
+    observability::write_log(observability::log_level::error, "storage_failed", {{"error", why}});
+    fail_waiting();
+    if (on_failure_)
+        on_failure_(why);
 }
 
 void replicated_control_group::write(const replication::write_batch& batch)
 {
-    if (batch.empty())
-        return;
     auto marked = batch;
     marked.committed = node_->committed();
     const auto begin = transport::read_clock();
@@ -299,7 +341,7 @@
 
 void replicated_control_group::record_commit()
 {
-    if (failed_ || node_->committed() <= recorded_commit_)
+    if (!is_usable() || node_->committed() <= recorded_commit_)
         return;
     replication::output result;
     result.writes.committed = node_->committed();
@@ -449,7 +491,7 @@
         {"current", is_leader()}, {"term", static_cast<qint64>(node_->term())},
         {"committed", static_cast<qint64>(node_->committed())}, {"applied", text(to_string(applied_))},
         {"last", text(to_string(log.last()))}, {"log_start", text(to_string(log.start()))}, {"members", members},
-        {"failed", failed_}};
+        {"failed", !is_usable()}};
     if (const auto id = node_->leader())
         result.insert("leader", static_cast<qint64>(id->value()));
     return result;
--- a/libraries/ibisdyke/frontends/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/replicated_control_group.h
@@ -14,6 +14,8 @@
 #include <QTimer>
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,7 +48,8 @@
 
     /// Loads the storage and registers its call at `router` at once. The references and `meter` (which may be null)
     /// must outlive the group. `on_failure` runs when the storage fails; the group answers nothing afterwards, since
-    /// whether its last writes are durable is unknown.
+    /// whether its last writes are durable is unknown. While the storage has no room the group neither answers nor
+    /// leads, and goes on once it has.
     replicated_control_group(replicated_control_group_options options, replication::log_storage& storage,
         transport::rpc_router& router, observability::counter_sink& counters, transport::traffic_meter* meter,
         failure_callback on_failure, QObject* parent);
@@ -105,13 +108,25 @@
         change_callback done;
     };
 
+    enum class storage_state : std::uint8_t {
+        usable,
+        /// The disk has no room: unwritten_ is written later.
+        full,
+        /// What the storage holds is unknown.
+        failed,
+    };
+
     void on_call(const std::string& body, const responder& answer);
     void on_message(const std::string& body);
     void on_timer();
     void enqueue(work it);
     void flush();
-    void persist(const std::vector<work>& batch);
+    void add_writes(const replication::output& from);
+    bool write_out();
     void write(const replication::write_batch& batch);
+    void wait_for_room(const std::string& why);
+    void fail_storage(const std::string& why);
+    bool is_usable() const { return storage_state_ == storage_state::usable; }
     void record_commit();
     void carry_out(const work& it);
     void send(const replication::message& it);
@@ -124,6 +139,7 @@
     void compact();
     void publish() const;
     const replication::member* find_member(core::control_id id) const;
+    const replication::member* find_leader() const;
 
     replicated_control_group_options options_;
     replication::log_storage& storage_;
@@ -135,8 +151,12 @@
     std::map<core::endpoint, transport::http2_client*> clients_;
     std::vector<state_callback> callbacks_;
     std::vector<work> work_;
+    /// Writes of the work in written_ that the storage has not taken yet, in order.
+    std::deque<replication::write_batch> unwritten_;
+    /// Work to be carried out once its writes are durable.
+    std::vector<work> written_;
     bool flush_scheduled_ = false;
-    bool failed_ = false;
+    storage_state storage_state_ = storage_state::usable;
     core::version applied_;
     /// The commit that the storage knows of.
     std::uint64_t recorded_commit_ = 0;
--- a/libraries/ibisdyke/frontends/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/replicated_control_group_test.cpp
@@ -35,6 +35,8 @@
     {
         if (fails)
             throw core::system_failure("sync failed");
+        if (is_full)
+            throw core::storage_full("no room");
         if (batch.ballot)
             state_.ballot = *batch.ballot;
         if (batch.base) {
@@ -48,6 +50,7 @@
     }
 
     bool fails = false;
+    bool is_full = false;
 
 private:
     core::incarnation disk_;
@@ -199,6 +202,31 @@
     }
 }
 
+// Guards against a process that ends, again and again, while its disk is full, and against one that goes on answering.
+TEST_CASE_METHOD(group_fixture, "a leader whose disk is full answers nothing until it has room and follows then")
+{
+    REQUIRE(wait_for([&] { return leader() != nullptr; }));
+    auto* const blocked = leader();
+    blocked->storage->is_full = true;
+    const auto lost = submit(*blocked, "lost");
+    REQUIRE(lost);
+    CHECK(lost->status == submit_status::unknown);
+    CHECK_FALSE(blocked->failed);
+    CHECK_FALSE(blocked->group->is_leader());
+    CHECK_FALSE(blocked->group->leader());
+    CHECK(submit(*blocked, "refused")->status == submit_status::not_leader);
+    std::optional<replication::proposal_status> removed;
+    blocked->group->remove_member(initial_.back().id, [&](auto status) { removed = status; });
+    CHECK(removed == replication::proposal_status::not_leader);
+    REQUIRE(wait_for([&] { return leader() != nullptr && leader() != blocked; }));
+    CHECK(submit(*leader(), "kept")->status == submit_status::committed);
+    CHECK_FALSE(blocked->group->leader());
+    blocked->storage->is_full = false;
+    CHECK(wait_for([&] { return blocked->group->state()->configuration.profiles.contains("kept"); }));
+    CHECK(wait_for([&] { return blocked->group->leader() == leader()->group->leader(); }));
+    CHECK(blocked->group->members().size() == members_.size());
+}
+
 TEST_CASE_METHOD(group_fixture, "a follower whose sync fails does not count for the majority")
 {
     REQUIRE(wait_for([&] { return leader() != nullptr; }));
--- a/libraries/ibisdyke/replication/log_storage.h
+++ b/libraries/ibisdyke/replication/log_storage.h
@@ -15,7 +15,8 @@
     /// Returns what was made durable so far.
     virtual stored_state load() = 0;
 
-    /// Returns once the batch is durable. Throws core::system_failure otherwise; whether the batch is durable is then
+    /// Returns once the batch is durable. Throws core::storage_full when the disk has no room for it: the call may then
+    /// be made again with the same batch. Throws core::system_failure otherwise; whether the batch is durable is then
     /// unknown, and every later call throws as well.
     virtual void persist(const write_batch& batch) = 0;
 };
--- a/libraries/ibisdyke/transport/signal_watcher.cpp
+++ b/libraries/ibisdyke/transport/signal_watcher.cpp
@@ -5,6 +5,7 @@
 #include <QSocketNotifier>
 
 #include <csignal>
+#include <poll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 #include <utility>
@@ -33,6 +34,21 @@
         throw core::system_failure("cannot block signals");
 }
 
+bool signal_watcher::wait_for_stop(core::milliseconds limit)
+{
+    sigset_t stops;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    const int descriptor = signalfd(-1, &stops, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (descriptor < 0)
+        throw core::system_failure("cannot watch signals");
+    pollfd watched{descriptor, POLLIN, 0};
+    const int ready = poll(&watched, 1, static_cast<int>(limit.count()));
+    close(descriptor);
+    return ready > 0;
+}
+
 signal_watcher::signal_watcher(
     std::function<void()> on_stop, std::function<void()> on_dump, std::function<void()> on_reload, QObject* parent)
     : QObject(parent)
--- a/libraries/ibisdyke/transport/signal_watcher.h
+++ b/libraries/ibisdyke/transport/signal_watcher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ibisdyke/core/time.h"
+
 #include <QObject>
 
 #include <functional>
@@ -21,6 +23,10 @@
     /// process. Throws core::system_failure.
     static void block_signals();
 
+    /// Waits for a signal to stop, before there is a signal_watcher; at most for `limit`. Returns whether one has come.
+    /// The signals must be blocked. Throws core::system_failure.
+    static bool wait_for_stop(core::milliseconds limit);
+
     ~signal_watcher() override;
     signal_watcher(const signal_watcher&) = delete;
     signal_watcher& operator=(const signal_watcher&) = delete;
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -8,6 +8,7 @@
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/replication/recovery.h"
 #include "ibisdyke/transport/clock.h"
+#include "ibisdyke/transport/signal_watcher.h"
 
 #include <algorithm>
 #include <string_view>
@@ -27,6 +28,8 @@
 constexpr core::milliseconds max_drain_limit{60'000};
 constexpr core::milliseconds hand_over_limit{1000};
 constexpr core::milliseconds bootstrap_retry{100};
+/// How often a full disk is tried again at the start.
+constexpr core::milliseconds room_check_period{250};
 constexpr const char* form_yes = "yes";
 constexpr const char* bootstrap_command = "bootstrap-token";
 
@@ -133,6 +136,24 @@
     observability::write_log(observability::log_level::warning, "recovered_alone", {{"term", batch.ballot->term}});
 }
 
+/// Opens the data folder, and waits while its disk has no room.
+std::unique_ptr<frontends::file_log_storage> open_storage(const std::string& folder)
+{
+    for (bool waits = false;; waits = true) {
+        try {
+            auto result = frontends::file_log_storage::create(folder);
+            if (waits)
+                observability::write_log(observability::log_level::info, "storage_has_room", {});
+            return result;
+        } catch (const core::storage_full& it) {
+            if (!waits)
+                observability::write_log(observability::log_level::error, "storage_full", {{"error", it.what()}});
+        }
+        if (transport::signal_watcher::wait_for_stop(room_check_period))
+            throw core::error("stopped while the disk of " + folder + " had no room");
+    }
+}
+
 } // namespace
 
 void control_process::declare_settings(settings::settings_parser& parser)
@@ -181,7 +202,7 @@
     const auto& values = source.initial();
     const auto options = group_options(values, host_->identity().source_address);
     auto* const meter = &host_->control_traffic();
-    storage_ = frontends::file_log_storage::create(values.text("data"));
+    storage_ = open_storage(values.text("data"));
     if (!values.is_empty("recover-alone"))
         recover_alone(*storage_, options.raft.self, values.text("recover-alone"));
     group_ = std::make_unique<frontends::replicated_control_group>(
