routing: Reset lost flows at once in services with many upstreams

Cause: a flow that no upstream holds was reset at once only when all members of its service had been asked.

Change: all members that may hold flows of the bucket must have been asked: those of its chain, or, where the chain is cut at its bound, the list without the bound, which candidate_sets (moved out of service_chains) works out on demand. The search beyond the chain asks these members first.

Ruled out: dropping the search beyond the chain; it still finds flows that were placed outside it.

A test with 40 upstreams fails without the change.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -189,20 +189,41 @@
     }
 }
 
-/// Whether every member that may hold a flow was asked and knew nothing of it.
-bool has_asked_all(const packet_header& header, const agent_facts& facts)
+bool was_asked(const packet_header& header, const core::upstream_id& id)
+{
+    const auto& chain = header.chain;
+    const auto it = std::find_if(chain.begin(), chain.end(), [&id](const auto& known) { return known.id == id; });
+    return it != chain.end() && was_asked(header, static_cast<std::uint32_t>(it - chain.begin()));
+}
+
+/// Whether every member that may hold the flow was asked and knew nothing of it.
+bool has_asked_all(const packet_facts& packet, const packet_header& header, const agent_facts& facts)
 {
     if (!facts.members)
         return false;
-    const auto& members = facts.members->service().members;
-    return std::all_of(members.begin(), members.end(), [&header](const auto& it) {
-        if (!it.reachable)
-            return true;
-        const auto known = std::find_if(header.chain.begin(), header.chain.end(),
-            [&it](const auto& candidate) { return candidate.id == it.target.id; });
-        return known != header.chain.end()
-            && was_asked(header, static_cast<std::uint32_t>(known - header.chain.begin()));
-    });
+    const auto bucket = bucket_of_flow(packet.flow);
+    const auto all_asked = [&header](const std::vector<chain_member>& members) {
+        return std::all_of(
+            members.begin(), members.end(), [&header](const auto& it) { return was_asked(header, it.id); });
+    };
+    const auto& known = facts.members->chain_of(bucket);
+    return all_asked(known.members) && (!known.truncated || all_asked(facts.members->holders(bucket)));
+}
+
+/// Returns the reachable members that the header leaves out, those first that may hold flows of the bucket.
+std::vector<chain_member> members_left_out(
+    std::uint32_t bucket, const packet_header& header, const service_chains& members)
+{
+    std::vector<core::upstream_id> used;
+    for (const auto& it : header.chain)
+        used.push_back(it.id);
+    auto result = members.members_outside(bucket, used);
+    if (!members.chain_of(bucket).truncated)
+        return result;
+    const auto holders = members.holders(bucket);
+    std::stable_partition(result.begin(), result.end(),
+        [&holders](const auto& it) { return std::find(holders.begin(), holders.end(), it) != holders.end(); });
+    return result;
 }
 
 /// Sends the packet to the first candidate, to place a new flow. Returns false when the chain has no candidate.
@@ -348,7 +369,7 @@
         // packet again.
         return dropped(packet_reason::unknown_flow);
     } else if (!may_start_flow(packet.kind)) {
-        const bool everywhere = now < facts.current_until && has_asked_all(header, facts);
+        const bool everywhere = now < facts.current_until && has_asked_all(packet, header, facts);
         if (!search_next_service(packet, header, facts))
             return everywhere ? rejected(packet_reason::unknown_flow) : unknown(packet, now);
     } else if (!begin_placement(header)) {
@@ -605,10 +626,7 @@
     // members that may hold flows.
     if (packet.kind == packet_kind::datagram && !facts.members->chain_of(bucket).truncated)
         return false;
-    std::vector<core::upstream_id> used;
-    for (const auto& it : header.chain)
-        used.push_back(it.id);
-    const auto outside = facts.members->members_outside(bucket, used);
+    const auto outside = members_left_out(bucket, header, *facts.members);
     // FIXME: members beyond max_header_members are not asked.
     const auto room = max_header_members - std::min(max_header_members, header.chain.size());
     const auto n = std::min(room, outside.size());
--- a/libraries/ibisdyke/routing/service_chains.h
+++ b/libraries/ibisdyke/routing/service_chains.h
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/endpoint.h"
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/core/version.h"
+#include "ibisdyke/routing/candidate_sets.h"
 #include "ibisdyke/routing/chain.h"
 #include "ibisdyke/routing/member.h"
 
@@ -46,6 +47,10 @@
     /// Returns null when the service has no such member.
     const member* find_member(const core::upstream_id& id) const;
 
+    /// Returns every member that may hold flows of the bucket, in the order of its chain but without its bound. Ranks
+    /// all members: for searches that have found nothing in the chain.
+    std::vector<chain_member> holders(std::uint32_t bucket) const;
+
     /// Returns the reachable members that are not in `used`, in the bucket's rank order.
     std::vector<chain_member> members_outside(std::uint32_t bucket, const std::vector<core::upstream_id>& used) const;
 
@@ -64,7 +69,10 @@
 
     explicit service_chains(service_members service);
 
+    std::vector<std::uint32_t> rank(std::uint32_t bucket) const;
+
     service_members service_;
+    candidate_sets sets_;
     /// Indices of the members by rising id.
     std::vector<std::uint32_t> by_id_;
     std::array<bucket_entry, buckets_per_service> buckets_{};
--- a/libraries/ibisdyke/routing/tests/disowned_flows_test.cpp
+++ b/libraries/ibisdyke/routing/tests/disowned_flows_test.cpp
@@ -134,6 +134,22 @@
     CHECK(end.reason == packet_reason::unknown_flow);
 }
 
+// Guards against callers that wait for their deadline where a service has more members than a header names: the members
+// of the bucket's chain are all that may hold the flow.
+TEST_CASE("a flow that all upstreams of its chain disown is reset at once in a large service")
+{
+    disowning_hosts it(40);
+    REQUIRE(it.send(first_syn(1), search_phase::place).action == packet_action::place);
+    it.held.clear();
+    for (const auto& member : it.hosts.members)
+        it.hosts.restart(member.target.id);
+    it.hosts.current_until = it.hosts.now + 1s;
+    const auto end = it.send(segment(1), search_phase::find);
+    INFO(static_cast<int>(end.reason) << " visits " << end.visits);
+    CHECK(end.action == packet_action::reject);
+    CHECK(end.reason == packet_reason::unknown_flow);
+}
+
 // Guards against open flows that break when a plan gives their route to another service.
 TEST_CASE("a flow of a service that the route named before is found")
 {
