membership: Tell agents whether their upstream has restarted with them

Cause: after a loss of power every agent takes 60 s to recover the flows of its upstream: it hands packets of unknown flows to the upstream, which disowns them.

Change: heartbeats and the record of an upstream carry its incarnation (its birth as it announces it, compared for equality only). A restarted agent compares the recorded one with the present one before its first heartbeat; when they differ, there is nothing to recover. The search for a flow ends once all members that may hold it have said no and control vouches for the table, instead of going on to members outside.

Ruled out: a watermark at the record of the new incarnation, since flows may begin before that record.

What binds after a recovery is the upstreams' capacity: they are at 1.6 times their work for 2 s, and late and fresh requests cannot be told apart when they begin a flow.

--- a/libraries/ibisdyke/membership/lease_table.cpp
+++ b/libraries/ibisdyke/membership/lease_table.cpp
@@ -27,6 +27,7 @@
     result.packet_endpoint = it.packet_endpoint;
     result.request_endpoint = it.request_endpoint;
     result.slots = it.slots;
+    result.incarnation = it.incarnation;
     return result;
 }
 
@@ -40,12 +41,14 @@
     result.packet_endpoint = it.packet_endpoint;
     result.request_endpoint = it.request_endpoint;
     result.slots = it.slots;
+    result.incarnation = it.upstream_incarnation;
     return result;
 }
 
 join join_of(const core::service_id& service, const heartbeat& it)
 {
-    return {service, it.name, it.domain, it.packet_endpoint, it.request_endpoint, it.sender, it.slots};
+    return {service, it.name, it.domain, it.packet_endpoint, it.request_endpoint, it.sender, it.slots,
+        it.upstream_incarnation};
 }
 
 void add_boundaries(std::vector<core::version>& boundaries, const std::vector<core::version_interval>& history)
--- a/libraries/ibisdyke/membership/membership_change.cpp
+++ b/libraries/ibisdyke/membership/membership_change.cpp
@@ -67,6 +67,7 @@
     added.request_endpoint = it.request_endpoint;
     added.agent = it.agent;
     added.slots = it.slots;
+    added.incarnation = it.incarnation;
     // An agent announces its upstream once the upstream answers; the agent itself ramps the load of a cold start.
     added.state = upstream_state::active;
     added.history.push_back({at, std::nullopt});
@@ -81,6 +82,7 @@
     known.packet_endpoint = it.packet_endpoint;
     known.request_endpoint = it.request_endpoint;
     known.slots = it.slots;
+    known.incarnation = it.incarnation;
     if (it.state != upstream_state::gone)
         known.gone_at.reset();
     else if (!was_gone)
--- a/libraries/ibisdyke/membership/membership_change.h
+++ b/libraries/ibisdyke/membership/membership_change.h
@@ -17,6 +17,7 @@
     core::endpoint request_endpoint;
     core::incarnation agent;
     std::uint32_t slots = 1;
+    core::incarnation incarnation{};
 
     friend bool operator==(const join&, const join&) = default;
 };
@@ -29,6 +30,7 @@
     core::endpoint packet_endpoint;
     core::endpoint request_endpoint;
     std::uint32_t slots = 1;
+    core::incarnation incarnation{};
     /// Recorded when it is newer than the recorded one; history that ended before it is pruned.
     core::version flow_watermark;
     /// The leader's wall-clock time when it proposed the change; recorded as gone_at.
--- a/libraries/ibisdyke/membership/messages.h
+++ b/libraries/ibisdyke/membership/messages.h
@@ -66,6 +66,9 @@
     core::endpoint request_endpoint;
     /// The incarnation of the agent. A restarted agent has another one and keeps the upstream id.
     core::incarnation agent;
+    /// The incarnation of the upstream itself, or 0 where upstreams do not announce one. What an earlier one held is
+    /// lost.
+    core::incarnation incarnation{};
     /// Requests that the upstream can serve at the same time.
     std::uint32_t slots = 1;
     upstream_state state = upstream_state::starting;
@@ -107,6 +110,8 @@
     core::endpoint packet_endpoint;
     core::endpoint request_endpoint;
     std::uint32_t slots = 0;
+    /// The incarnation of the upstream; 0 when it is not known.
+    core::incarnation upstream_incarnation{};
     bool draining = false;
     std::uint64_t open_flows = 0;
     /// A version that no open flow is older than, and no flow that begins or is adopted later; the default version
--- a/libraries/ibisdyke/membership/tests/codec_test.cpp
+++ b/libraries/ibisdyke/membership/tests/codec_test.cpp
@@ -24,6 +24,7 @@
     it.packet_endpoint = core::endpoint::create("10.20.30.40:7000");
     it.request_endpoint = core::endpoint::create("10.20.30.40:7001");
     it.slots = 5;
+    it.upstream_incarnation = core::incarnation(1'700'000'000'000);
     it.draining = true;
     it.open_flows = 2000;
     it.flow_watermark = {1100, 9'000'000};
@@ -54,10 +55,10 @@
     CHECK(wire::decode_heartbeat_answer(wire::encode(heartbeat_answer{})) == heartbeat_answer{});
 
     membership_change change;
-    change.joins.push_back(
-        {core::service_id(1), "a", core::failure_domain("zone-a"), {1, 2}, {3, 4}, core::incarnation(5), 6});
+    change.joins.push_back({core::service_id(1), "a", core::failure_domain("zone-a"), {1, 2}, {3, 4},
+        core::incarnation(5), 6, core::incarnation(11)});
     change.updates.push_back({core::upstream_id(7), upstream_state::suspect, core::incarnation(8), {1, 2}, {1, 3}, 4,
-        {5, 6}, core::wall_time(core::milliseconds(1'700'000'000'000))});
+        core::incarnation(12), {5, 6}, core::wall_time(core::milliseconds(1'700'000'000'000))});
     change.forgotten = {core::upstream_id(9), core::upstream_id(10)};
     change.relays = {{"balancer", {1, 2}}};
     change.removed_relays = {"old"};
@@ -65,9 +66,9 @@
 
     membership_state state;
     state.upstreams[core::upstream_id(7)] = {core::upstream_id(7), core::service_id(1), "a",
-        core::failure_domain("zone-a"), {1, 2}, {3, 4}, core::incarnation(5), 6, upstream_state::gone,
-        core::wall_time(core::milliseconds(1'700'000'000'000)), {{{1, 2}, core::version{1, 3}}, {{1, 4}, std::nullopt}},
-        {2, 5}, {1, 3}};
+        core::failure_domain("zone-a"), {1, 2}, {3, 4}, core::incarnation(5), core::incarnation(13), 6,
+        upstream_state::gone, core::wall_time(core::milliseconds(1'700'000'000'000)),
+        {{{1, 2}, core::version{1, 3}}, {{1, 4}, std::nullopt}}, {2, 5}, {1, 3}};
     state.relays = {{"balancer", {1, 2}}};
     CHECK(wire::decode_membership_state(wire::encode(state)) == state);
 }
--- a/libraries/ibisdyke/membership/tests/lease_table_test.cpp
+++ b/libraries/ibisdyke/membership/tests/lease_table_test.cpp
@@ -243,6 +243,19 @@
     CHECK(state_->upstreams.size() == 2);
 }
 
+// Guards against a record that names a former run of the upstream, whose flows a restarted agent would look for.
+TEST_CASE_METHOD(lease_fixture, "a restart of the upstream alone is recorded")
+{
+    auto& it = agent("host-0", 7000);
+    it.upstream_incarnation = core::incarnation(100);
+    run(5s);
+    CHECK(record("host-0").incarnation == core::incarnation(100));
+    it.upstream_incarnation = core::incarnation(200);
+    run(600ms);
+    CHECK(record("host-0").incarnation == core::incarnation(200));
+    CHECK(record("host-0").agent == it.sender);
+}
+
 // Guards against a lease table that empties a service when the control group is cut off from most of its upstreams.
 TEST_CASE_METHOD(lease_fixture, "a mass expiry during a partition removes up to the limit and suspects the rest")
 {
--- a/libraries/ibisdyke/membership/tests/membership_change_test.cpp
+++ b/libraries/ibisdyke/membership/tests/membership_change_test.cpp
@@ -141,3 +141,15 @@
     state = apply(state, {{}, {}, {}, {}, {"balancer-1"}}, {1, 6});
     CHECK(state.relays == std::map<std::string, core::endpoint>{{"balancer-2", endpoint}});
 }
+
+// Guards against an agent that asks a restarted upstream for the flows that the earlier one held.
+TEST_CASE("the record names the incarnation that the upstream has announced last")
+{
+    auto joining = join_named("a");
+    joining.incarnation = core::incarnation(100);
+    const auto before = apply({}, {{joining}, {}, {}, {}, {}}, {1, 10});
+    CHECK(first(before).incarnation == core::incarnation(100));
+    auto restarted = update_to(upstream_state::active);
+    restarted.incarnation = core::incarnation(200);
+    CHECK(first(updated(before, restarted, {1, 11})).incarnation == core::incarnation(200));
+}
--- a/libraries/ibisdyke/membership/wire/codec.cpp
+++ b/libraries/ibisdyke/membership/wire/codec.cpp
@@ -92,6 +92,7 @@
     endpoints_to_wire(value, message);
     message.set_agent(value.agent.value());
     message.set_slots(value.slots);
+    message.set_incarnation(value.incarnation.value());
 }
 
 join join_from_wire(const Join& message)
@@ -103,6 +104,7 @@
     endpoints_from_wire(message, result);
     result.agent = core::incarnation(message.agent());
     result.slots = message.slots();
+    result.incarnation = core::incarnation(message.incarnation());
     return result;
 }
 
@@ -113,6 +115,7 @@
     message.set_agent(value.agent.value());
     endpoints_to_wire(value, message);
     message.set_slots(value.slots);
+    message.set_incarnation(value.incarnation.value());
     if (value.flow_watermark != core::version{})
         to_wire(value.flow_watermark, *message.mutable_flow_watermark());
     message.set_proposed_at(to_count(value.proposed_at));
@@ -126,6 +129,7 @@
     result.agent = core::incarnation(message.agent());
     endpoints_from_wire(message, result);
     result.slots = message.slots();
+    result.incarnation = core::incarnation(message.incarnation());
     result.flow_watermark = from_wire(message.flow_watermark());
     result.proposed_at = to_wall_time(message.proposed_at());
     return result;
@@ -166,6 +170,7 @@
     endpoints_to_wire(value, message);
     message.set_agent(value.agent.value());
     message.set_slots(value.slots);
+    message.set_incarnation(value.incarnation.value());
     message.set_state(static_cast<std::uint32_t>(value.state));
     if (value.gone_at)
         message.set_gone_at(to_count(*value.gone_at));
@@ -187,6 +192,7 @@
     endpoints_from_wire(message, result);
     result.agent = core::incarnation(message.agent());
     result.slots = message.slots();
+    result.incarnation = core::incarnation(message.incarnation());
     result.state = to_enum(message.state(), upstream_state::gone, "upstream state");
     if (message.has_gone_at())
         result.gone_at = to_wall_time(message.gone_at());
@@ -231,6 +237,7 @@
     message.set_service(value.service);
     endpoints_to_wire(value, message);
     message.set_slots(value.slots);
+    message.set_upstream_incarnation(value.upstream_incarnation.value());
     message.set_draining(value.draining);
     message.set_open_flows(value.open_flows);
     if (value.flow_watermark != core::version{})
@@ -251,6 +258,7 @@
     result.service = message.service();
     endpoints_from_wire(message, result);
     result.slots = message.slots();
+    result.upstream_incarnation = core::incarnation(message.upstream_incarnation());
     result.draining = message.draining();
     result.open_flows = message.open_flows();
     result.flow_watermark = from_wire(message.flow_watermark());
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -210,6 +210,14 @@
     return all_asked(known.members) && (!known.truncated || all_asked(facts.members->holders(bucket)));
 }
 
+/// Whether the search for the flow is over: control vouches for the table, and all members that may hold the flow by it
+/// were asked.
+bool has_searched(
+    const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
+{
+    return now < facts.current_until && has_asked_all(packet, header, facts);
+}
+
 /// Returns the reachable members that the header leaves out, those first that may hold flows of the bucket.
 std::vector<chain_member> members_left_out(
     std::uint32_t bucket, const packet_header& header, const service_chains& members)
@@ -346,7 +354,7 @@
     offer_adoption(header, facts, now);
     add_own_chain(header, packet, facts);
     auto next = next_to_ask(header);
-    if (!next && extend(packet, header, facts, now))
+    if (!next && !has_searched(packet, header, facts, now) && extend(packet, header, facts, now))
         next = next_to_ask(header);
     if (next)
         return forwarded(std::move(header), *next);
@@ -369,9 +377,9 @@
         // packet again.
         return dropped(packet_reason::unknown_flow);
     } else if (!may_start_flow(packet.kind)) {
-        const bool everywhere = now < facts.current_until && has_asked_all(packet, header, facts);
+        const bool searched = has_searched(packet, header, facts, now);
         if (!search_next_service(packet, header, facts))
-            return everywhere ? rejected(packet_reason::unknown_flow) : unknown(packet, now);
+            return searched ? rejected(packet_reason::unknown_flow) : unknown(packet, now);
     } else if (!begin_placement(header)) {
         return rejected(packet_reason::no_capacity);
     }
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -224,6 +224,7 @@
     }
     host_.counters().add("upstream_announcements", 1);
     slots_ = it.slots;
+    note_survival();
     start_heartbeats();
     note_presence();
 }
@@ -298,6 +299,7 @@
 {
     id_ = id;
     restarted_ = is_restart_of(id);
+    note_survival();
     observability::write_log(observability::log_level::info, restarted_ ? "upstream_resumed" : "upstream_joined",
         {{"upstream", id.value()}});
     publish_identity();
@@ -318,6 +320,29 @@
     }
 }
 
+core::incarnation agent_process::upstream_incarnation() const
+{
+    // Two runs of an upstream cannot start in the same millisecond.
+    return presence_ && presence_->latest() ? core::incarnation(presence_->latest()->born_ms) : core::incarnation{};
+}
+
+/// Finds out, once after a restart of this process, whether the upstream is the one that the earlier process guarded.
+/// If it is not, its flows are lost, and there is nothing to ask it for. The record still names the earlier upstream:
+/// this process reports the present one only after it has compared them.
+void agent_process::note_survival()
+{
+    const auto* const self = find_self();
+    const auto present = upstream_incarnation();
+    if (!restarted_ || survival_known_ || self == nullptr || present == core::incarnation{})
+        return;
+    survival_known_ = true;
+    if (self->incarnation == core::incarnation{} || self->incarnation == present)
+        return;
+    flows_lost_ = true;
+    observability::write_log(observability::log_level::info, "upstream_restarted",
+        {{"recorded", self->incarnation.value()}, {"present", present.value()}});
+}
+
 bool agent_process::is_restart_of(const core::upstream_id& id) const
 {
     return first_seen_ && core::join_record_index(id) <= first_seen_->index;
@@ -407,7 +432,7 @@
     if (const auto age = subscriber_->age())
         next.current_until = transport::read_clock() - *age + dissemination::feed_limits{}.max_age;
     next.domain_out = is_domain_out();
-    if (restarted_)
+    if (restarted_ && !flows_lost_)
         next.recovers_until = started_ + recovery_window_;
     next.admission = make_admission(transport::read_clock());
     const auto present = facts_.load();
@@ -465,6 +490,7 @@
     result.packet_endpoint = packet_endpoint_;
     result.request_endpoint = request_endpoint_;
     result.slots = slots_;
+    result.upstream_incarnation = upstream_incarnation();
     result.draining = stop_deadline_.has_value() || !is_upstream_ready(transport::read_clock());
     result.usage = usage_.take_report(transport::read_clock());
     return frontends::with_flows(std::move(result), receiver_->view());
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -48,6 +48,8 @@
     void set_id(const core::upstream_id& id);
     void find_id();
     bool is_restart_of(const core::upstream_id& id) const;
+    core::incarnation upstream_incarnation() const;
+    void note_survival();
     const membership::upstream* find_self() const;
     bool is_draining() const;
     bool is_upstream_ready(core::time_point now) const;
@@ -89,6 +91,10 @@
     std::optional<core::version> first_seen_;
     std::optional<core::upstream_id> id_;
     bool restarted_ = false;
+    /// Whether the upstream that an earlier process guarded was compared with the present one.
+    bool survival_known_ = false;
+    /// The upstream has restarted as well, so there are no flows to recover.
+    bool flows_lost_ = false;
     double mean_open_flows_ = 0;
     configuration::domain_state seen_domain_ = configuration::domain_state::in;
     std::optional<core::time_point> stop_deadline_;
