routing: Spare upstreams that fail while they say that they are well

Change: the agent, which sees every packet of its upstream, counts outcomes: a reset of a flow whose request was sent, or no answer after ten service times and at least 500 ms, is a failure. With a quarter of the last 16 outcomes failed the upstream counts as having more to do than any other candidate for 1 s, doubling up to 8 s while it fails again. It still takes a flow that no other candidate can take. Requests count from the caller's data on; an open flow without data may belong to a caller that has gone. A line and a counter say when an upstream is spared and tried again.

Ruled out: health probes (they answer well), resets of open flows at such an upstream (the rule on flows), reading the answers' status (only the ends of a flow read its bytes).

--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/frontends/flow_log.h"
+#include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/decision_names.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
@@ -40,6 +41,7 @@
         , malformed(from.find("agent_dropped_malformed"))
         , send_failures(from.find("agent_send_failures"))
         , notices(from.find("agent_version_notices_sent"))
+        , failing(from.find("agent_upstream_failing"))
     {
         for (const auto it : routing::packet_reasons) {
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
@@ -59,6 +61,7 @@
     observability::counter& malformed;
     observability::counter& send_failures;
     observability::counter& notices;
+    observability::counter& failing;
 };
 
 packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets from, formats packets,
@@ -193,8 +196,7 @@
 
 void packet_receiver::note_answer(std::string_view packet, core::time_point now)
 {
-    const auto facts = formats_.upstream->parse_answer(packet);
-    agent_.note_answer(facts.flow, facts.kind, facts.has_data, now);
+    agent_.note_answer(formats_.upstream->parse_answer(packet), now);
 }
 
 void packet_receiver::handle_disowned(std::string_view packet, core::time_point now)
@@ -212,7 +214,7 @@
         return counters_->not_ready.add(1);
     log_disowned(parsed.facts, *facts_);
     const auto decision = agent_.decide_disowned(parsed.facts, *header, *facts_, now);
-    log_decision({parsed.facts, *header, decision, *facts_, agent_.load()});
+    log_decision({parsed.facts, *header, decision, *facts_, agent_.load(now)});
     carry_out(decision, *header, original);
 }
 
@@ -240,7 +242,7 @@
     const auto decision = agent_.decide(parsed.facts, header, *facts_, now);
     if (decision.action == routing::packet_action::place)
         ++usage_.flows;
-    log_decision({parsed.facts, header, decision, *facts_, agent_.load()});
+    log_decision({parsed.facts, header, decision, *facts_, agent_.load(now)});
     carry_out(decision, header, packet);
 }
 
@@ -314,6 +316,16 @@
     counters_->notices.add(1);
 }
 
+void packet_receiver::note_failing(bool failing)
+{
+    if (std::exchange(failing_, failing) == failing)
+        return;
+    if (failing)
+        counters_->failing.add(1);
+    observability::write_log(failing ? observability::log_level::warning : observability::log_level::info,
+        failing ? "upstream_failing" : "upstream_tried_again", {{"upstream", facts_->self.value()}});
+}
+
 void packet_receiver::maintain(core::time_point now)
 {
     if (now - last_maintenance_ < maintenance_interval)
@@ -323,6 +335,7 @@
     if (!facts_)
         return;
     agent_.maintain(*facts_, now);
+    note_failing(agent_.is_failing(now));
     usage_.open_flows = agent_.flows().open_flows();
     usage_.active_flows = agent_.flows().active_flows();
     usage_.flow_watermark = agent_.watermark(*facts_, now);
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -135,6 +135,7 @@
     std::string_view keep(std::string bytes);
     void reject(std::string_view packet);
     void compare_versions(const routing::packet_header& header, core::time_point now);
+    void note_failing(bool failing);
     void maintain(core::time_point now);
 
     packet_receiver_settings settings_;
@@ -157,6 +158,8 @@
     std::vector<std::unique_ptr<const std::string>> made_;
     std::map<core::endpoint, core::time_point> last_notices_;
     core::time_point last_newer_{};
+    /// What was logged last of the upstream's failures.
+    bool failing_ = false;
     core::time_point last_maintenance_{};
 
     mutable std::mutex view_mutex_;
--- a/libraries/ibisdyke/routing/agent_facts.h
+++ b/libraries/ibisdyke/routing/agent_facts.h
@@ -35,6 +35,8 @@
 struct agent_facts {
     core::upstream_id self;
     core::service_id service;
+    /// The incarnation of the upstream beside the agent; 0 where upstreams do not announce one.
+    core::incarnation upstream;
     /// The version of the system state that the agent has applied.
     core::version applied;
     /// The members of the agent's service; null before the first table.
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -15,6 +15,10 @@
 /// callers take to send their last copy of a SYN.
 constexpr core::milliseconds lasting_overload{600};
 
+/// What a failing upstream's load counts for, in thousandths of its slots: more than any queue, so that it takes a new
+/// flow only where no other candidate can.
+constexpr std::uint32_t failing_load = 1'000'000;
+
 /// A caller gives its attempt up after it has sent this copy of a SYN.
 constexpr std::uint32_t last_copy = 2;
 
@@ -494,7 +498,7 @@
     const auto refused = refusal(packet, facts, now);
     const bool admitted = !refused;
     const bool last = header.position + 1 >= header.candidates;
-    const auto own = load();
+    const auto own = load(now);
     const bool has_room = own.waiting == 0 && own.open_flows <= facts.admission.mean_open_flows + 1;
     // The last candidate is in its turn only when all others have too much to do.
     const bool is_best = !header.fallback || own < header.fallback_load;
@@ -620,7 +624,7 @@
     if (!flows_.insert(packet, {std::nullopt, began}, now))
         return rejected(packet_reason::table_full);
     new_flows_.take(now);
-    pending_.begin(packet.flow, now);
+    pending_.open(packet.flow, now);
     return {packet_action::place, packet_reason::none, std::nullopt};
 }
 
@@ -656,7 +660,12 @@
 {
     if (facts.domain_out)
         flows_.clear();
+    // What an earlier run of the upstream did says nothing of the present one.
+    if (std::exchange(upstream_, facts.upstream) != facts.upstream)
+        failures_.reset();
     flows_.expire(now);
+    for (auto n = pending_.take_overdue(now); n > 0; --n)
+        failures_.note_failure(now);
     pending_.expire(now);
     if (applied_.empty() || applied_.back().second < facts.applied)
         applied_.emplace_back(now, facts.applied);
@@ -664,19 +673,21 @@
         applied_.pop_front();
 }
 
-void flow_agent::note_answer(const flow_key& flow, packet_kind kind, bool has_data, core::time_point now)
+void flow_agent::note_answer(const packet_facts& answer, core::time_point now)
 {
-    if (has_data)
-        pending_.answer(flow, now);
-    if (kind != packet_kind::closing)
+    if (answer.has_data && pending_.answer(answer.flow, now))
+        failures_.note_success();
+    if (answer.kind != packet_kind::closing)
         return;
-    pending_.forget(flow, now);
-    flows_.close(flow, now);
+    if (pending_.forget(answer.flow, now) && answer.is_reset)
+        failures_.note_failure(now);
+    flows_.close(answer.flow, now);
 }
 
-upstream_load flow_agent::load() const
+upstream_load flow_agent::load(core::time_point now) const
 {
-    return {pending_.waiting(), static_cast<std::uint32_t>(flows_.active_flows())};
+    const auto waiting = pending_.waiting() + (failures_.is_failing(now) ? failing_load : 0);
+    return {waiting, static_cast<std::uint32_t>(flows_.active_flows())};
 }
 
 core::version flow_agent::watermark(const agent_facts& facts, core::time_point now) const
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/core/version.h"
 #include "ibisdyke/routing/agent_facts.h"
+#include "ibisdyke/routing/failure_detector.h"
 #include "ibisdyke/routing/flow_table.h"
 #include "ibisdyke/routing/messages.h"
 #include "ibisdyke/routing/packet_facts.h"
@@ -95,8 +96,8 @@
     /// had sent the packet to this agent. Nothing when the table has no route for it.
     static std::optional<packet_header> make_header(const packet_facts& packet, const agent_facts& facts);
 
-    /// Notes a packet of the upstream to a caller; `flow` is the caller's.
-    void note_answer(const flow_key& flow, packet_kind kind, bool has_data, core::time_point now);
+    /// Notes a packet of the upstream to a caller; its flow is the caller's.
+    void note_answer(const packet_facts& answer, core::time_point now);
 
     /// Forgets flows that have been idle for too long, and all flows when the failure domain is out: they are
     /// abandoned.
@@ -105,8 +106,11 @@
     /// Removes what is known of a flow.
     void forget(const flow_key& flow) { flows_.erase(flow); }
 
-    /// Returns what the upstream has to do.
-    upstream_load load() const;
+    /// Returns what the upstream has to do; a failing one counts as having more to do than any other.
+    upstream_load load(core::time_point now) const;
+
+    /// Whether new flows are spared the upstream because it fails its requests.
+    bool is_failing(core::time_point now) const { return failures_.is_failing(now); }
 
     /// Returns a version that no open flow is older than, and no flow will be that begins from now on: flows are placed
     /// by tables that are up to table_lag old. After a restart, and for table_lag after the recovery window, it is the
@@ -158,6 +162,9 @@
 
     flow_table flows_;
     pending_requests pending_;
+    failure_detector failures_;
+    /// The run of the upstream that failures_ is about.
+    core::incarnation upstream_;
     unknown_flows unknown_;
     /// The newest version in a header, and since when it has been newer than the applied one.
     core::version newest_seen_;
--- a/libraries/ibisdyke/routing/packet_facts.h
+++ b/libraries/ibisdyke/routing/packet_facts.h
@@ -33,6 +33,8 @@
     std::uint32_t copies = 0;
     /// The packet carries data, not only an acknowledgement.
     bool has_data = false;
+    /// The packet ends its flow without more ado (TCP RST).
+    bool is_reset = false;
 
     friend bool operator==(const packet_facts&, const packet_facts&) = default;
 };
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -23,14 +23,22 @@
     /// `slots` is how many requests the upstream serves at the same time; 0 when that is not known.
     void set_slots(std::uint32_t slots) { slots_ = slots; }
 
-    /// The caller has opened the flow or sent data on it.
-    void begin(const flow_key& flow, core::time_point now);
+    /// The caller opens the flow: its first request follows.
+    void open(const flow_key& flow, core::time_point now) { begin(flow, now, request_state::expected); }
 
-    /// The upstream has sent data on the flow.
-    void answer(const flow_key& flow, core::time_point now);
+    /// The caller has sent data on the flow.
+    void begin(const flow_key& flow, core::time_point now) { begin(flow, now, request_state::sent); }
+
+    /// The upstream has sent data on the flow. Returns whether it owed an answer.
+    bool answer(const flow_key& flow, core::time_point now);
 
     /// The flow has ended, or the upstream does not hold it.
-    void forget(const flow_key& flow, core::time_point now);
+    /// Returns whether the upstream owed an answer to a request that was sent.
+    bool forget(const flow_key& flow, core::time_point now);
+
+    /// Returns how many requests have become overdue since the last call: still without an answer after several times
+    /// the upstream's service time.
+    std::size_t take_overdue(core::time_point now);
 
     void expire(core::time_point now);
 
@@ -49,17 +57,27 @@
     std::optional<std::chrono::nanoseconds> expected_time() const;
 
 private:
+    enum class request_state : std::uint8_t {
+        /// The flow is open, and the caller may have gone.
+        expected,
+        sent,
+    };
+
     struct request {
         core::time_point since;
+        request_state state = request_state::expected;
         /// waiting() when the request began.
         std::uint32_t waiting = 0;
     };
 
+    void begin(const flow_key& flow, core::time_point now, request_state state);
     void note_slots(core::time_point now);
 
     std::uint32_t slots_ = 0;
     std::unordered_map<flow_key, request> requests_;
     std::deque<std::pair<core::time_point, flow_key>> order_;
+    /// Requests that take_overdue() has not looked at yet, in order.
+    std::deque<std::pair<core::time_point, flow_key>> unjudged_;
     std::optional<std::chrono::nanoseconds> service_time_;
     std::optional<core::time_point> busy_since_;
 };
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -20,6 +20,15 @@
 constexpr auto service_time = 24ms;
 constexpr auto latency_target = 100ms;
 
+routing::packet_facts answer_to(const routing::flow_key& flow, packet_kind kind)
+{
+    routing::packet_facts result;
+    result.flow = flow;
+    result.kind = kind;
+    result.has_data = kind == packet_kind::segment;
+    return result;
+}
+
 /// Upstreams with a queue each, in virtual time, and callers that send a SYN and, when nothing answers, its copies.
 class loaded_hosts {
 public:
@@ -97,8 +106,8 @@
         auto& slot = *std::min_element(free.begin(), free.end());
         slot = std::max(slot, hosts.now) + service_time;
         at(slot, [this, id, syn, first] {
-            hosts.agents.at(id)->note_answer(syn.flow, packet_kind::segment, true, hosts.now);
-            hosts.agents.at(id)->note_answer(syn.flow, packet_kind::closing, false, hosts.now);
+            hosts.agents.at(id)->note_answer(answer_to(syn.flow, packet_kind::segment), hosts.now);
+            hosts.agents.at(id)->note_answer(answer_to(syn.flow, packet_kind::closing), hosts.now);
             const bool in_time = hosts.now - first <= latency_target;
             ++(syn.copies > 0 ? outcome_.came_again : in_time ? outcome_.in_time : outcome_.late);
         });
@@ -209,6 +218,47 @@
     CHECK(waits.reason == packet_reason::yields);
     copy.copies = 2;
     CHECK(hosts.send(copy, hosts.table).action == packet_action::reject);
-    hosts.agents.at(hosts.members[0].target.id)->note_answer(syn.flow, packet_kind::segment, true, hosts.now);
+    hosts.agents.at(hosts.members[0].target.id)->note_answer(answer_to(syn.flow, packet_kind::segment), hosts.now);
     CHECK(hosts.send(copy, hosts.table).action == packet_action::place);
 }
+
+// Replays an upstream that resets every request while it says that it is well. Guards against new flows that go on to
+// be placed there, and against one that gets none once it works again.
+TEST_CASE("new flows are spared an upstream that resets its requests")
+{
+    simulated_hosts hosts(3);
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id].slots = slots;
+    hosts.update_agents();
+    const auto failing = hosts.members[0].target.id;
+    bool fails = true;
+    std::uint32_t caller = 0;
+    // A flow every 5 ms with one request each; returns how many went to the failing upstream.
+    const auto play = [&](core::milliseconds duration) {
+        std::size_t there = 0;
+        for (const auto end_of_load = hosts.now + duration; hosts.now < end_of_load; hosts.now += 5ms) {
+            auto syn = simulated_hosts::packet(++caller, packet_kind::syn);
+            syn.is_first = true;
+            const auto end = hosts.send(syn, hosts.table, search_phase::place);
+            REQUIRE(end.action == packet_action::place);
+            there += end.at == failing ? 1 : 0;
+            auto request = simulated_hosts::packet(caller, packet_kind::segment);
+            request.has_data = true;
+            CHECK(hosts.send(request, hosts.table).at == end.at);
+            auto answer = answer_to(syn.flow, packet_kind::segment);
+            answer.is_reset = fails && end.at == failing;
+            answer.has_data = !answer.is_reset;
+            answer.kind = packet_kind::closing;
+            hosts.agents.at(end.at)->note_answer(answer, hosts.now);
+            for (const auto& [id, agent] : hosts.agents)
+                agent->maintain(hosts.facts_of(id), hosts.now);
+            hosts.update_mean();
+        }
+        return there;
+    };
+    // 3,000 flows; a third of them without the detector.
+    CHECK(play(15s) < 30);
+    fails = false;
+    play(10s);
+    CHECK(play(5s) > 200);
+}
--- a/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
+++ b/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
@@ -97,3 +97,23 @@
     it.answer(flow(1), start + 4s);
     CHECK_FALSE(it.service_time());
 }
+
+// Guards against a queue, a flow whose caller has gone, or an answered request that counts as a failure of the
+// upstream.
+TEST_CASE("only requests that were sent become overdue, once each")
+{
+    pending_requests it;
+    it.open(flow(1), start);
+    it.begin(flow(2), start);
+    it.begin(flow(3), start);
+    it.begin(flow(4), start);
+    CHECK(it.answer(flow(3), start + 20ms));
+    CHECK_FALSE(it.answer(flow(3), start + 20ms));
+    it.begin(flow(4), start + 300ms);
+    CHECK(it.take_overdue(start + 499ms) == 0);
+    CHECK(it.take_overdue(start + 500ms) == 1);
+    CHECK(it.take_overdue(start + 600ms) == 0);
+    CHECK(it.take_overdue(start + 800ms) == 1);
+    CHECK_FALSE(it.forget(flow(1), start + 900ms));
+    CHECK(it.forget(flow(2), start + 900ms));
+}
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -425,6 +425,7 @@
     routing::agent_facts next;
     next.self = *id_;
     next.service = self->service;
+    next.upstream = upstream_incarnation();
     next.applied = state->applied;
     next.table = routes_.load();
     next.members = next.table->find_service(self->service);
