frontends: Read TCP and UDP headers without unions

The kernel's headers describe the same fields without unions. Ruled out: exceptions for the linter, which would hide later findings in this file.

--- a/libraries/ibisdyke/frontends/ip_packet_format.cpp
+++ b/libraries/ibisdyke/frontends/ip_packet_format.cpp
@@ -5,10 +5,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstring>
+#include <linux/tcp.h>
+#include <linux/udp.h>
 #include <netinet/ip.h>
 #include <netinet/ip_icmp.h>
-#include <netinet/tcp.h>
-#include <netinet/udp.h>
 
 namespace ibisdyke::frontends {
 
@@ -22,7 +22,7 @@
 template <typename Header>
 Header read(std::string_view packet)
 {
-    Header result;
+    Header result{};
     std::memcpy(&result, packet.data(), sizeof(Header));
     return result;
 }
