routing: Send new flows around agents that cannot be reached

Cause: a balancer sent SYNs to the first candidate of a chain whether or not the agent could be reached. SYNs were lost until the 2 s lease of a crashed VM had ended, and for the whole time of a cut between a balancer and agents that control still saw. A SYN that comes again is the sign: the balancer probes the candidates of its chain (reachability_monitor), and takes an agent that leaves three probes in 240 ms unanswered for unreachable until it answers. New flows then go to the other candidates of the same chain, so that the usual search finds them later; packets of open flows still go to the unreachable agent, after the others. Nothing is probed while all is well, and an agent that has answered within 500 ms is not probed again, because under overload all SYNs come again. Tests: reachability_test.cpp, packet_path_test.cpp (probe, repeated SYN).

--- a/benchmarks/packet_rate.cpp
+++ b/benchmarks/packet_rate.cpp
@@ -245,7 +245,8 @@
             frontends::packet_forwarder forwarder("forwarder",
                 transport::udp_socket::create({loopback, 0}, transport::address_sharing::exclusive), std::nullopt,
                 std::make_shared<const frontends::ip_packet_format>(core::endpoint{}),
-                std::make_unique<routing::chain_router>(), tables, counters, control, [](const auto&, const auto&) {});
+                std::make_unique<routing::chain_router>(), tables, counters, control,
+                frontends::packet_forwarder::callbacks{[](const auto&, const auto&) {}, {}});
             forwarder.start();
             forwarded.push_back(offer(packets, forwarder.local(), end));
         }
--- a/libraries/ibisdyke/frontends/forwarding_snapshot.h
+++ b/libraries/ibisdyke/frontends/forwarding_snapshot.h
@@ -15,7 +15,8 @@
 
     /// `previous` is null for the first table.
     static std::shared_ptr<const forwarding_snapshot> create(std::shared_ptr<const routing::routing_table> chains,
-        const std::shared_ptr<const forwarding_snapshot>& previous, core::time_point now);
+        const std::shared_ptr<const forwarding_snapshot>& previous, core::time_point now,
+        routing::unreachable_set unreachable = {});
 
     friend bool operator==(const forwarding_snapshot&, const forwarding_snapshot&) = default;
 };
--- a/libraries/ibisdyke/frontends/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packet_forwarder.cpp
@@ -25,12 +25,15 @@
 /// Many agents report the same new version at once; one call is enough to refresh.
 constexpr std::chrono::milliseconds notice_interval{100};
 
+/// Under overload each SYN comes again; a few chains a second are enough to find what is out of reach.
+constexpr std::chrono::milliseconds repeated_syn_interval{20};
+
 } // namespace
 
 packet_forwarder::packet_forwarder(std::string name, std::unique_ptr<transport::datagram_socket> socket,
     std::optional<core::endpoint> notices, std::shared_ptr<const packet_format> format,
     std::unique_ptr<routing::router> router, const core::snapshot_publisher<forwarding_snapshot>& tables,
-    observability::counter_registry& counters, QObject& control, newer_version_callback on_newer_version)
+    observability::counter_registry& counters, QObject& control, callbacks on)
     : name_(std::move(name))
     , socket_(std::move(socket))
     , local_(socket_->local())
@@ -39,7 +42,7 @@
     , router_(std::move(router))
     , tables_(tables)
     , control_(control)
-    , on_newer_version_(std::move(on_newer_version))
+    , on_(std::move(on))
     , forwarded_packets_(counters.find("forwarder_packets"))
     , forwarded_bytes_(counters.find("forwarder_bytes"))
     , without_table_(counters.find("forwarder_dropped_without_table"))
@@ -123,10 +126,14 @@
     for (const auto& [i, facts] : packets_)
         routes_.push_back(router_->select(facts, now));
     for (std::size_t n = 0; n < packets_.size(); ++n) {
-        if (routes_[n])
-            send_on(packets_[n].first, *routes_[n]);
-        else
-            answer_unrouted(packets_[n].first, packets_[n].second, now);
+        const auto& [i, facts] = packets_[n];
+        if (!routes_[n]) {
+            answer_unrouted(i, facts, now);
+            continue;
+        }
+        if (facts.kind == routing::packet_kind::syn && facts.copies > 0)
+            note_repeated_syn(*routes_[n], now);
+        send_on(i, *routes_[n]);
     }
     std::uint64_t bytes = 0;
     for (const auto& it : outgoing_)
@@ -168,6 +175,7 @@
         case routing::wire::datagram_kind::notice:
             return take_notice(parts.message, batch_.source(i), now);
         case routing::wire::datagram_kind::packet:
+        case routing::wire::datagram_kind::probe:
             // Only agents take packets with headers.
             malformed_.add(1);
             return;
@@ -208,8 +216,23 @@
     }
     const std::string phase =
         route.phase == routing::search_phase::find ? std::string() : routing::wire::encode_phase(route.phase);
-    const auto length = routing::wire::encode_length(origin_.size() + chain.size() + phase.size());
-    outgoing_.push_back({batch_.prepend(i, 0, {length, origin_, chain, phase}), route.destination});
+    const std::string asked = route.asked == 0 ? std::string() : routing::wire::encode_asked(route.asked);
+    const auto length = routing::wire::encode_length(origin_.size() + chain.size() + phase.size() + asked.size());
+    outgoing_.push_back({batch_.prepend(i, 0, {length, origin_, chain, phase, asked}), route.destination});
+}
+
+/// A caller sends its SYN again when no answer came: the agents that its copies go to may be out of reach.
+void packet_forwarder::note_repeated_syn(const routing::route& route, core::time_point now)
+{
+    if (!on_.on_repeated_syn || now - last_repeated_syn_ < repeated_syn_interval)
+        return;
+    last_repeated_syn_ = now;
+    const auto& members = route.members->members;
+    std::vector<routing::chain_member> candidates(
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(route.members->candidates));
+    QMetaObject::invokeMethod(
+        &control_, [callback = on_.on_repeated_syn, it = std::move(candidates)] { callback(it); },
+        Qt::QueuedConnection);
 }
 
 void packet_forwarder::take_notice(std::string_view message, const core::endpoint& agent, core::time_point now)
@@ -222,7 +245,7 @@
         return;
     last_notice_ = now;
     QMetaObject::invokeMethod(
-        &control_, [callback = on_newer_version_, notice, agent] { callback(notice.latest, agent); },
+        &control_, [callback = on_.on_newer_version, notice, agent] { callback(notice.latest, agent); },
         Qt::QueuedConnection);
 }
 
--- a/libraries/ibisdyke/frontends/packet_forwarder.h
+++ b/libraries/ibisdyke/frontends/packet_forwarder.h
@@ -36,7 +36,7 @@
 ///     auto socket = transport::udp_socket::create(packet_endpoint, transport::address_sharing::shared);
 ///     frontends::packet_forwarder forwarder("packet_forwarder_0", std::move(socket), std::nullopt, format,
 ///         std::make_unique<routing::chain_router>(), tables, counters, *control_context,
-///         [&](const core::version& latest, const core::endpoint& agent) { subscription.refresh_to(latest); });
+///         {[&](const core::version& latest, const core::endpoint& agent) { subscription.refresh_to(latest); }, {}});
 ///     forwarder.start();
 ///     // On each new system state, on the control thread:
 ///     chains = routing::routing_table::create(state.applied, frontends::routing_input(state), chains);
@@ -46,13 +46,22 @@
     /// Called on the control thread when an agent has a newer version than this balancer.
     using newer_version_callback = std::function<void(const core::version& latest, const core::endpoint& agent)>;
 
+    /// Called on the control thread with the members that may take the flow of a SYN that came again.
+    using repeated_syn_callback = std::function<void(const std::vector<routing::chain_member>& candidates)>;
+
+    struct callbacks {
+        newer_version_callback on_newer_version;
+        /// May be empty.
+        repeated_syn_callback on_repeated_syn;
+    };
+
     /// `name` is the key in the state dump. Version notices go to `notices`, or else to the socket itself, when its
     /// datagrams can be told from packets of the format. `control` is an object of the control thread, which must have
     /// an event loop; it and the other references must outlive the forwarder.
     packet_forwarder(std::string name, std::unique_ptr<transport::datagram_socket> socket,
         std::optional<core::endpoint> notices, std::shared_ptr<const packet_format> format,
         std::unique_ptr<routing::router> router, const core::snapshot_publisher<forwarding_snapshot>& tables,
-        observability::counter_registry& counters, QObject& control, newer_version_callback on_newer_version);
+        observability::counter_registry& counters, QObject& control, callbacks on);
 
     /// Stops.
     ~packet_forwarder() override;
@@ -79,6 +88,7 @@
     void read(std::size_t i, core::time_point now);
     void read_packet(std::size_t i, std::string_view packet);
     void send_on(std::size_t i, const routing::route& route);
+    void note_repeated_syn(const routing::route& route, core::time_point now);
     void answer_unrouted(std::size_t i, const routing::packet_facts& facts, core::time_point now);
     void take_notice(std::string_view message, const core::endpoint& agent, core::time_point now);
 
@@ -90,7 +100,7 @@
     std::unique_ptr<routing::router> router_;
     const core::snapshot_publisher<forwarding_snapshot>& tables_;
     QObject& control_;
-    newer_version_callback on_newer_version_;
+    callbacks on_;
 
     observability::counter& forwarded_packets_;
     observability::counter& forwarded_bytes_;
@@ -113,6 +123,7 @@
     std::vector<std::optional<routing::route>> routes_;
     std::vector<transport::outgoing_datagram> outgoing_;
     core::time_point last_notice_{};
+    core::time_point last_repeated_syn_{};
     routing::rate_limiter answers_;
     /// Bytes of datagrams that are not in the batch, until they are sent.
     std::vector<std::unique_ptr<const std::string>> made_;
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -42,6 +42,7 @@
         , send_failures(from.find("agent_send_failures"))
         , notices(from.find("agent_version_notices_sent"))
         , failing(from.find("agent_upstream_failing"))
+        , probes(from.find("agent_probes_answered"))
     {
         for (const auto it : routing::packet_reasons) {
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
@@ -62,6 +63,7 @@
     observability::counter& send_failures;
     observability::counter& notices;
     observability::counter& failing;
+    observability::counter& probes;
 };
 
 packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets from, formats packets,
@@ -222,6 +224,8 @@
 {
     try {
         const auto parts = routing::wire::split_datagram(batch_.bytes(i));
+        if (parts.kind == routing::wire::datagram_kind::probe)
+            return answer_probe(routing::wire::decode_packet_header(parts.message));
         if (parts.kind != routing::wire::datagram_kind::packet)
             return counters_->malformed.add(1);
         handle_packet(parts.message, parts.packet, now);
@@ -312,10 +316,19 @@
     if (!is_new && now - it->second < notice_interval)
         return;
     it->second = now;
-    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied})), header.sender});
+    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self})), header.sender});
     counters_->notices.add(1);
 }
 
+/// Tells a balancer that this agent can be reached. An agent without a table could not take a flow.
+void packet_receiver::answer_probe(const routing::packet_header& probe)
+{
+    if (!facts_)
+        return counters_->not_ready.add(1);
+    counters_->probes.add(1);
+    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self})), probe.sender});
+}
+
 void packet_receiver::note_failing(bool failing)
 {
     if (std::exchange(failing_, failing) == failing)
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -136,6 +136,7 @@
     void reject(std::string_view packet);
     void compare_versions(const routing::packet_header& header, core::time_point now);
     void note_failing(bool failing);
+    void answer_probe(const routing::packet_header& probe);
     void maintain(core::time_point now);
 
     packet_receiver_settings settings_;
--- a/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
@@ -69,6 +69,32 @@
     REQUIRE(from.send({{bytes, to}}) == 0);
 }
 
+/// IP packets of a platform that tells how often a SYN was sent before.
+class counting_packet_format final : public frontends::packet_format {
+public:
+    explicit counting_packet_format(const core::endpoint& caller_return)
+        : ip_(caller_return)
+    {
+    }
+
+    frontends::parsed_packet parse(std::string_view packet) const override
+    {
+        auto result = ip_.parse(packet);
+        result.facts.copies = copies_;
+        return result;
+    }
+
+    std::optional<std::string> make_reject(std::string_view packet) const override { return ip_.make_reject(packet); }
+
+    core::endpoint caller_endpoint(std::string_view packet) const override { return ip_.caller_endpoint(packet); }
+
+    /// Set before the packet threads start.
+    std::uint32_t copies_ = 0;
+
+private:
+    frontends::ip_packet_format ip_;
+};
+
 /// An upstream with its agent.
 struct host {
     core::upstream_id id;
@@ -97,7 +123,9 @@
         }
         forwarder = std::make_unique<frontends::packet_forwarder>("forwarder", open_socket(), std::nullopt, format,
             std::make_unique<routing::chain_router>(), tables, balancer_counters, control,
-            [this](const auto& latest, const auto&) { newer_versions.push_back(latest); });
+            frontends::packet_forwarder::callbacks{
+                [this](const auto& latest, const auto&) { newer_versions.push_back(latest); },
+                [this](const auto& candidates) { repeated.push_back(candidates); }});
     }
 
     routing::service_members members() const
@@ -170,13 +198,13 @@
     int argument_count = 0;
     QCoreApplication application{argument_count, nullptr};
     std::unique_ptr<transport::udp_socket> caller = open_socket();
-    std::shared_ptr<const frontends::packet_format> format =
-        std::make_shared<const frontends::ip_packet_format>(caller->local());
+    std::shared_ptr<counting_packet_format> format = std::make_shared<counting_packet_format>(caller->local());
     QObject control;
     std::vector<std::unique_ptr<host>> hosts;
     core::snapshot_publisher<frontends::forwarding_snapshot> tables;
     observability::counter_registry balancer_counters;
     std::vector<core::version> newer_versions;
+    std::vector<std::vector<routing::chain_member>> repeated;
     std::shared_ptr<const routing::routing_table> chains;
     std::unique_ptr<frontends::packet_forwarder> forwarder;
 };
@@ -292,6 +320,35 @@
     CHECK(path.newer_versions.front() == core::version{1, 6});
 }
 
+// Guards against an agent out of reach that is never probed.
+TEST_CASE("a SYN that comes again reaches the balancer's control thread with its candidates")
+{
+    packet_path path(2);
+    path.format->copies_ = 1;
+    path.publish_to_balancer({1, 5});
+    path.publish_to_agents({1, 5}, false);
+    path.start();
+    REQUIRE(path.deliver(tcp_packet(2000, Tins::TCP::SYN, "")));
+    REQUIRE(path.run_until([&path] { return !path.repeated.empty(); }));
+    CHECK(path.repeated.front().size() == 2);
+}
+
+// Guards against an agent in reach that is taken for one out of reach.
+TEST_CASE("an agent answers a probe with its upstream")
+{
+    packet_path path(1);
+    path.publish_to_agents({1, 6}, false);
+    path.start();
+    const auto probe = routing::wire::encode_probe_datagram({1, 6}, path.caller->local());
+    send(*path.caller, probe, path.hosts[0]->agent->local());
+    const auto answer = receive(*path.caller, 5s);
+    REQUIRE(answer);
+    const auto parts = routing::wire::split_datagram(*answer);
+    REQUIRE(parts.kind == routing::wire::datagram_kind::notice);
+    const routing::version_notice expected{{1, 6}, path.hosts[0]->id};
+    CHECK(routing::wire::decode_version_notice(parts.message) == expected);
+}
+
 // Guards against an agent that misses an update that balancers already have.
 TEST_CASE("a newer table in a packet reaches the agent's control thread")
 {
--- a/libraries/ibisdyke/routing/chain_router.h
+++ b/libraries/ibisdyke/routing/chain_router.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include "ibisdyke/routing/detour.h"
 #include "ibisdyke/routing/router.h"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace ibisdyke::routing {
 
-/// The product's router: sends each packet to the first member of its bucket's chain and keeps no state of flows.
+/// The product's router: sends each packet to the first member of its bucket's chain that can be reached and keeps no
+/// state of flows.
 class chain_router final : public router {
 public:
     /// A SYN that may be a copy is placed without a search when its bucket's chain has been the same for this long:
@@ -22,7 +27,12 @@
     /// Whether no member can know the flow of the SYN yet.
     static bool may_place(const packet_facts& syn, const chain& members, core::time_point::duration age);
 
+    std::optional<route> select_detour(const packet_facts& packet, std::uint32_t service, std::uint16_t chain);
+    const std::optional<detour>& detour_of(std::uint32_t service, std::uint16_t chain);
+
     std::shared_ptr<const forwarding_table> table_;
+    /// By service and chain; of the present table, as far as they were needed.
+    std::map<std::pair<std::uint32_t, std::uint16_t>, std::optional<detour>> detours_;
 };
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -83,9 +83,12 @@
     friend bool operator==(const packet_header&, const packet_header&) = default;
 };
 
-/// Sent by an agent to the sender of a packet whose header names an older table than the agent's.
+/// Sent by an agent to the sender of a packet whose header names an older table than the agent's, and in answer to a
+/// probe.
 struct version_notice {
     core::version latest;
+    /// The upstream of the agent.
+    core::upstream_id upstream;
 
     friend bool operator==(const version_notice&, const version_notice&) = default;
 };
--- a/libraries/ibisdyke/routing/router.h
+++ b/libraries/ibisdyke/routing/router.h
@@ -24,6 +24,8 @@
     /// Index of the chain in the service's chains(), when it is one of them.
     std::optional<std::uint16_t> chain_index;
     search_phase phase = search_phase::find;
+    /// Bit n is set when the agent of members[n] need not be asked for the flow.
+    std::uint32_t asked = 0;
 
     friend bool operator==(const route&, const route&) = default;
 };
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -37,7 +37,7 @@
     CHECK(wire::decode_packet_header(wire::encode(it)) == it);
     CHECK(wire::decode_packet_header(wire::encode(packet_header{})) == packet_header{});
     CHECK(wire::encode_prefix(it).size() <= wire::max_prefix_bytes);
-    const version_notice notice{{2, 9}};
+    const version_notice notice{{2, 9}, core::make_upstream_id(3, 0)};
     CHECK(wire::decode_version_notice(wire::encode(notice)) == notice);
 }
 
@@ -52,12 +52,13 @@
         for (std::uint32_t bucket = 0; bucket < buckets_per_service; bucket += 100) {
             const auto index = table->services()[0]->chain_index(bucket);
             const auto bytes = wire::encode_origin(table->at(), sender) + std::string(encoded->find(0, index))
-                + wire::encode_phase(phase);
+                + wire::encode_phase(phase) + wire::encode_asked(2);
             packet_header expected;
             expected.table = table->at();
             expected.service = testing::simulated_hosts::service;
             expected.sender = sender;
             expected.phase = phase;
+            expected.asked = 2;
             const auto& chain = table->services()[0]->chain_of(bucket);
             expected.candidates = static_cast<std::uint32_t>(chain.candidates);
             for (const auto& it : chain.members)
@@ -112,7 +113,8 @@
 TEST_CASE("the first byte tells the kinds of datagrams apart")
 {
     CHECK(wire::split_datagram("E" + std::string(39, '\0')).kind == wire::datagram_kind::plain_packet);
-    CHECK(wire::split_datagram(wire::encode_notice_datagram({{1, 1}})).kind == wire::datagram_kind::notice);
+    CHECK(wire::split_datagram(wire::encode_notice_datagram({{1, 1}, {}})).kind == wire::datagram_kind::notice);
+    CHECK(wire::split_datagram(wire::encode_probe_datagram({1, 1}, {1, 2})).kind == wire::datagram_kind::probe);
     const auto parts_text = wire::encode_prefix(full_header()) + "packet";
     const auto parts = wire::split_datagram(parts_text);
     CHECK(parts.kind == wire::datagram_kind::packet);
--- /dev/null
+++ b/libraries/ibisdyke/routing/unreachable_set.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "ibisdyke/core/ids.h"
+
+#include <set>
+
+namespace ibisdyke::routing {
+
+/// The upstreams whose agents a balancer cannot reach at present.
+using unreachable_set = std::set<core::upstream_id>;
+
+} // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -67,6 +67,7 @@
 {
     VersionNotice message;
     core::wire::to_wire(it.latest, *message.mutable_latest());
+    message.set_upstream(it.upstream.value());
     return message.SerializeAsString();
 }
 
@@ -102,7 +103,7 @@
 version_notice decode_version_notice(std::string_view bytes)
 {
     const auto message = core::wire::parse<VersionNotice>(bytes);
-    return {core::wire::from_wire(message.latest())};
+    return {core::wire::from_wire(message.latest()), core::upstream_id(message.upstream())};
 }
 
 std::string encode_origin(const core::version& table, const core::endpoint& sender)
@@ -133,6 +134,13 @@
     return message.SerializeAsString();
 }
 
+std::string encode_asked(std::uint32_t asked)
+{
+    PacketHeader message;
+    message.set_asked(asked);
+    return message.SerializeAsString();
+}
+
 std::string encode_length(std::size_t header_bytes)
 {
     return {static_cast<char>(header_bytes >> bits_per_byte), static_cast<char>(header_bytes & byte_mask)};
@@ -149,6 +157,12 @@
     return encode_length(0) + encode(it);
 }
 
+std::string encode_probe_datagram(const core::version& table, const core::endpoint& sender)
+{
+    const auto origin = encode_origin(table, sender);
+    return encode_length(origin.size()) + origin;
+}
+
 datagram_parts split_datagram(std::string_view datagram)
 {
     if (datagram.size() < length_bytes)
@@ -163,7 +177,8 @@
         return {datagram_kind::notice, rest, {}};
     if (length > rest.size() || length > max_prefix_bytes)
         throw core::malformed_message("datagram announces a header of " + std::to_string(length) + " bytes");
-    return {datagram_kind::packet, rest.substr(0, length), rest.substr(length)};
+    const auto kind = length == rest.size() ? datagram_kind::probe : datagram_kind::packet;
+    return {kind, rest.substr(0, length), rest.substr(length)};
 }
 
 } // namespace ibisdyke::routing::wire
--- a/libraries/ibisdyke/routing/wire/codec.h
+++ b/libraries/ibisdyke/routing/wire/codec.h
@@ -27,10 +27,12 @@
 version_notice decode_version_notice(std::string_view bytes);
 
 /// A header may be put together from parts encoded at different times: encode_origin(), encode_chain() and, unless the
-/// phase is `find`, encode_phase(). Together they decode to the header with position 0.
+/// phase is `find`, encode_phase(), and unless it is 0, encode_asked(). Together they decode to the header with
+/// position 0.
 std::string encode_origin(const core::version& table, const core::endpoint& sender);
 std::string encode_chain(const core::service_id& service, const chain& members);
 std::string encode_phase(search_phase phase);
+std::string encode_asked(std::uint32_t asked);
 
 /// Returns the two bytes of the length that begins a datagram.
 std::string encode_length(std::size_t header_bytes);
@@ -38,14 +40,17 @@
 /// Returns what precedes the IP packet in a datagram.
 std::string encode_prefix(const packet_header& it);
 
-/// Returns a whole datagram.
+/// These return a whole datagram. An agent answers a probe with a notice to the probe's sender.
 std::string encode_notice_datagram(const version_notice& it);
+std::string encode_probe_datagram(const core::version& table, const core::endpoint& sender);
 
 enum class datagram_kind : std::uint8_t {
     /// An IP packet without a header, from the fabric.
     plain_packet,
     /// Header and IP packet.
     packet,
+    /// A header alone.
+    probe,
     notice,
 };
 
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -112,10 +112,15 @@
 
 void balancer_process::create_notice_socket(const core::endpoint& address)
 {
+    notices_endpoint_ = address;
     notices_ = std::make_unique<QUdpSocket>();
     if (!notices_->bind(QHostAddress(address.address), address.port))
         throw core::system_failure("cannot listen on " + to_string(address));
     QObject::connect(notices_.get(), &QUdpSocket::readyRead, notices_.get(), [this] { read_notices(); });
+    probe_timer_.setSingleShot(true);
+    QObject::connect(&probe_timer_, &QTimer::timeout, &probe_timer_, [this] { probe_agents(); });
+    host_.counters().add_gauge(
+        "unreachable_agents", [this] { return static_cast<double>(reachability_.unreachable().size()); });
 }
 
 void balancer_process::read_notices()
@@ -125,13 +130,65 @@
         try {
             const auto parts = routing::wire::split_datagram(bytes);
             if (parts.kind == routing::wire::datagram_kind::notice)
-                refresh(routing::wire::decode_version_notice(parts.message).latest);
+                take_notice(routing::wire::decode_version_notice(parts.message));
         } catch (const core::malformed_message&) {
             host_.counters().add("forwarder_dropped_malformed", 1);
         }
     }
 }
 
+void balancer_process::take_notice(const routing::version_notice& it)
+{
+    refresh(it.latest);
+    reachability_.note_answer(it.upstream, transport::read_clock());
+    publish_forwarding();
+}
+
+void balancer_process::note_repeated_syn(const std::vector<routing::chain_member>& candidates)
+{
+    reachability_.suspect(candidates, transport::read_clock());
+    probe_agents();
+}
+
+/// Probes the agents that may be out of reach, as long as there are any.
+void balancer_process::probe_agents()
+{
+    // Answers that have waited while this process did not run count before the next probe.
+    read_notices();
+    const auto now = transport::read_clock();
+    const auto due = reachability_.take_due(now);
+    if (!due.empty() && routes_.load()) {
+        const auto probe =
+            QByteArray::fromStdString(routing::wire::encode_probe_datagram(routes_.load()->at(), notices_endpoint_));
+        for (const auto& it : due)
+            notices_->writeDatagram(probe, QHostAddress(it.address), it.port);
+        host_.counters().add("forwarder_probes_sent", due.size());
+    }
+    publish_forwarding();
+    if (const auto next = reachability_.next_due())
+        probe_timer_.start(std::chrono::ceil<core::milliseconds>(*next - now));
+}
+
+/// Publishes the packet threads' table again when other agents than before are out of reach.
+void balancer_process::publish_forwarding()
+{
+    const auto present = forwarding_.load();
+    auto unreachable = reachability_.unreachable();
+    if (!present || present->table->unreachable == unreachable)
+        return;
+    for (const auto& it : unreachable) {
+        if (!present->table->unreachable.contains(it))
+            observability::write_log(
+                observability::log_level::warning, "agent_unreachable", {{"upstream", it.value()}});
+    }
+    for (const auto& it : present->table->unreachable) {
+        if (!unreachable.contains(it))
+            observability::write_log(observability::log_level::info, "agent_reachable", {{"upstream", it.value()}});
+    }
+    forwarding_.publish(frontends::forwarding_snapshot::create(
+        present->table->chains, present, transport::read_clock(), std::move(unreachable)));
+}
+
 void balancer_process::create_health_server(const settings::setting_values& values, const frontends::front_end& world)
 {
     if (values.is_empty("listen-health"))
@@ -157,7 +214,10 @@
         forwarders_.push_back(std::make_unique<frontends::packet_forwarder>("packet_forwarder_" + std::to_string(i),
             std::move(socket), notices, format, routing::create(*routing::find_router(values.text("router"))),
             forwarding_, host_.counters(), *host_.parent(),
-            [this](const core::version& latest, const core::endpoint&) { refresh(latest); }));
+            frontends::packet_forwarder::callbacks{
+                [this](const core::version& latest, const core::endpoint&) { refresh(latest); },
+                notices ? [this](const auto& candidates) { note_repeated_syn(candidates); }
+                        : frontends::packet_forwarder::repeated_syn_callback()}));
     }
 }
 
@@ -196,7 +256,9 @@
     const auto routes = routing::routing_table::create(
         state->applied, frontends::routing_input(*state), routes_.load(), frontends::flow_routes(state->configuration));
     routes_.publish(routes);
-    forwarding_.publish(frontends::forwarding_snapshot::create(routes, forwarding_.load(), transport::read_clock()));
+    reachability_.keep_only(*routes);
+    forwarding_.publish(frontends::forwarding_snapshot::create(
+        routes, forwarding_.load(), transport::read_clock(), reachability_.unreachable()));
     states_.publish(state);
     contacts_->take(state->membership);
     subscriptions_->publish(state);
--- a/services/balancer/balancer_process.h
+++ b/services/balancer/balancer_process.h
@@ -11,10 +11,12 @@
 #include "ibisdyke/frontends/request_thread.h"
 #include "ibisdyke/frontends/state_subscriber.h"
 #include "ibisdyke/frontends/subscription_server.h"
+#include "ibisdyke/routing/reachability_monitor.h"
 #include "ibisdyke/settings/settings_parser.h"
 #include "ibisdyke/transport/rpc_router.h"
 
 #include <QHttpServer>
+#include <QTimer>
 #include <QUdpSocket>
 
 #include <memory>
@@ -39,6 +41,10 @@
     void create_health_server(const settings::setting_values& values, const frontends::front_end& world);
     void create_notice_socket(const core::endpoint& address);
     void read_notices();
+    void take_notice(const routing::version_notice& it);
+    void note_repeated_syn(const std::vector<routing::chain_member>& candidates);
+    void probe_agents();
+    void publish_forwarding();
     void create_gateway(const settings::setting_values& values);
     void create_control_connections(const settings::setting_values& values);
     void take_state(const dissemination::system_state_snapshot& state);
@@ -65,6 +71,9 @@
     std::unique_ptr<frontends::control_contacts> contacts_;
     /// Null when agents send version notices to the packet sockets.
     std::unique_ptr<QUdpSocket> notices_;
+    core::endpoint notices_endpoint_;
+    routing::reachability_monitor reachability_;
+    QTimer probe_timer_;
     std::vector<std::unique_ptr<frontends::packet_forwarder>> forwarders_;
     std::unique_ptr<QHttpServer> health_server_;
     /// Null when the balancer takes no requests.
