routing: Offer copies of a SYN to all candidates again

Its copy was searched for and then placed anew, but followed the first SYN's redirect entries past two candidates with free slots to the last one, which was full by then and dropped it. A search that has found no member marks the header (is_new), and redirect entries are not followed after that. The replay in overload_test.cpp failed before.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -77,6 +77,7 @@
     header.restarted.reset();
     header.recovery_left_ms = 0;
     header.fallback.reset();
+    header.is_new = false;
 }
 
 bool names(const packet_header& header, const agent_facts& facts)
@@ -246,6 +247,7 @@
     header.position = 0;
     header.asked = 0;
     header.phase = search_phase::place;
+    header.is_new = true;
     return true;
 }
 
@@ -339,7 +341,7 @@
     if (!known->redirect)
         return facts.domain_out ? rejected(packet_reason::domain_out)
                                 : packet_decision{packet_action::deliver, packet_reason::none, std::nullopt};
-    if (header.phase == search_phase::assign || !holds(*known->redirect, header, facts)) {
+    if (header.phase == search_phase::assign || header.is_new || !holds(*known->redirect, header, facts)) {
         flows_.erase(packet.flow);
         return std::nullopt;
     }
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -74,6 +74,8 @@
     upstream_load fallback_load;
     /// Agents visited so far.
     std::uint32_t hops = 0;
+    /// A search has found no member that knows the flow. Redirect entries of it are out of date.
+    bool is_new = false;
     /// Other services of the flow's route whose members were asked and did not know the flow.
     std::vector<core::service_id> searched;
     /// Bit n is set when chain[n] has had the packet in this phase and did not know the flow, or only knew where it was
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -24,6 +24,7 @@
     it.sender = {0x0a000001, 7000};
     it.restarted = 0;
     it.fallback = 2;
+    it.is_new = true;
     it.hops = 63;
     it.asked = 0xffffff;
     return it;
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -262,3 +262,49 @@
     play(10s);
     CHECK(play(5s) > 200);
 }
+
+// Replays a SYN that is lost on its way to the last candidate, which joined lately and has hardly a flow; it is full
+// when the copy comes. Guards against a copy that the redirect entries of the first SYN lead past candidates with free
+// slots.
+TEST_CASE("a copy of a SYN is offered to all candidates again")
+{
+    simulated_hosts hosts(3);
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id].slots = slots;
+    hosts.update_agents();
+    const auto place_at = [&](const routing::chain_member& target, std::uint32_t caller) {
+        routing::packet_header header;
+        header.table = hosts.table->at();
+        header.service = simulated_hosts::service;
+        header.chain = {{target.id, target.packet_endpoint}};
+        header.candidates = 1;
+        header.phase = search_phase::place;
+        const auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        REQUIRE(hosts.walk(syn, header).action == packet_action::place);
+        return syn.flow;
+    };
+    auto syn = simulated_hosts::packet(1, packet_kind::syn);
+    const auto bucket = routing::bucket_of_flow(syn.flow);
+    const auto candidates = hosts.table->find_chain(simulated_hosts::service, bucket)->members;
+    for (std::uint32_t i = 0; i < 10; ++i) {
+        const auto& target = candidates[i % 2];
+        const auto flow = place_at(target, 100 + i);
+        hosts.agents.at(target.id)->note_answer(answer_to(flow, packet_kind::segment), hosts.now);
+    }
+    hosts.update_mean();
+    const auto joined = candidates[2];
+    auto agent = std::move(hosts.agents.at(joined.id));
+    hosts.agents.erase(joined.id);
+    syn.is_first = true;
+    const auto lost = hosts.send(syn, hosts.table, search_phase::place);
+    REQUIRE(lost.action == packet_action::drop);
+    REQUIRE(lost.at == joined.id);
+    hosts.agents[joined.id] = std::move(agent);
+    for (std::uint32_t i = 0; i < slots; ++i)
+        place_at(joined, 200 + i);
+    syn.is_first = false;
+    syn.copies = 1;
+    const auto end = hosts.send(syn, hosts.table);
+    CHECK(end.action == packet_action::place);
+    CHECK(end.at != joined.id);
+}
