--- /dev/null
+++ b/libraries/ibisdyke/routing/flow_search.cpp
@@ -0,0 +1,209 @@
+#include "ibisdyke/routing/flow_search.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace ibisdyke::routing::detail {
+
+namespace {
+
+bool names_service(const flow_route& route, const core::service_id& service)
+{
+    const auto is_target = [&service](const auto& it) { return it.service == service; };
+    return std::any_of(route.targets.begin(), route.targets.end(), is_target)
+        || std::find(route.former.begin(), route.former.end(), service) != route.former.end();
+}
+
+/// Whether new flows of the route may begin at the service.
+bool takes_new_flows(const flow_route& route, const core::service_id& service)
+{
+    return std::any_of(route.targets.begin(), route.targets.end(),
+        [&service](const auto& it) { return it.service == service && it.weight > 0; });
+}
+
+bool member_was_asked(const packet_header& header, const core::upstream_id& id)
+{
+    const auto& chain = header.chain;
+    const auto it = std::find_if(chain.begin(), chain.end(), [&id](const auto& known) { return known.id == id; });
+    return it != chain.end() && was_asked(header, static_cast<std::uint32_t>(it - chain.begin()));
+}
+
+/// Whether every member that may hold the flow was asked and knew nothing of it.
+bool has_asked_all(const packet_facts& packet, const packet_header& header, const agent_facts& facts)
+{
+    if (!facts.members)
+        return false;
+    const auto bucket = bucket_of_flow(packet.flow);
+    const auto all_asked = [&header](const std::vector<chain_member>& members) {
+        return std::all_of(
+            members.begin(), members.end(), [&header](const auto& it) { return member_was_asked(header, it.id); });
+    };
+    const auto& known = facts.members->chain_of(bucket);
+    return all_asked(known.members) && (!known.truncated || all_asked(facts.members->holders(bucket)));
+}
+
+} // namespace
+
+std::vector<core::service_id> services_of(const flow_route& route)
+{
+    std::vector<core::service_id> result;
+    for (const auto& it : route.targets)
+        result.push_back(it.service);
+    result.insert(result.end(), route.former.begin(), route.former.end());
+    return result;
+}
+
+void use_chain(packet_header& header, const core::service_id& service, const chain& members)
+{
+    header.service = service;
+    header.chain.clear();
+    for (const auto& it : members.members)
+        header.chain.push_back({it.id, it.packet_endpoint});
+    header.candidates = static_cast<std::uint32_t>(members.candidates);
+    header.position = 0;
+    header.phase = search_phase::find;
+    header.asked = 0;
+    header.restarted.reset();
+    header.recovery_left_ms = 0;
+    header.fallback.reset();
+    header.is_new = false;
+}
+
+bool names(const packet_header& header, const agent_facts& facts)
+{
+    return header.service == facts.service && header.position < header.chain.size()
+        && header.chain[header.position].id == facts.self;
+}
+
+bool is_for_service(const packet_facts& packet, const packet_header& header, const agent_facts& facts)
+{
+    if (!facts.members)
+        return false;
+    if (facts.table) {
+        // A balancer with a newer table may know a route that this agent has not heard of.
+        if (header.table > facts.applied)
+            return true;
+        const auto* const route = facts.table->destinations().find(packet.flow);
+        if (route == nullptr)
+            return false;
+        return may_start_flow(packet.kind) ? takes_new_flows(*route, facts.service)
+                                           : names_service(*route, facts.service);
+    }
+    const auto& flow = packet.flow;
+    const public_address wanted{{flow.destination_address, flow.destination_port}, flow.protocol};
+    const auto& addresses = facts.members->service().addresses;
+    return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
+}
+
+std::uint32_t position_of(packet_header& header, const header_member& target)
+{
+    auto& chain = header.chain;
+    const auto it =
+        std::find_if(chain.begin(), chain.end(), [&target](const auto& known) { return known.id == target.id; });
+    if (it != chain.end())
+        return static_cast<std::uint32_t>(it - chain.begin());
+    if (chain.size() >= max_header_members) {
+        chain.pop_back();
+        header.asked &= ~(1U << chain.size());
+    }
+    chain.push_back(target);
+    return static_cast<std::uint32_t>(chain.size() - 1);
+}
+
+bool was_asked(const packet_header& header, std::uint32_t position)
+{
+    return ((header.asked >> position) & 1U) != 0;
+}
+
+std::optional<std::uint32_t> next_to_ask(const packet_header& header)
+{
+    const auto n = static_cast<std::uint32_t>(header.chain.size());
+    for (std::uint32_t i = 1; i < n; ++i) {
+        const auto position = (header.position + i) % n;
+        if (!was_asked(header, position))
+            return position;
+    }
+    return std::nullopt;
+}
+
+bool holds(const header_member& target, const packet_header& header, const agent_facts& facts)
+{
+    const auto* const it = facts.members ? facts.members->find_member(target.id) : nullptr;
+    // A member that this agent has not heard of yet is newer than its table.
+    if (it == nullptr)
+        return true;
+    // In the phase `place` no member knows the flow, so the target can only begin it.
+    return it->reachable && (header.phase == search_phase::find || it->eligible);
+}
+
+core::version earliest(const agent_facts& facts)
+{
+    const auto* const self = facts.members ? facts.members->find_member(facts.self) : nullptr;
+    if (self == nullptr || self->history.empty())
+        return {};
+    // The flows of an earlier process of this agent are not older than the watermark that it reported.
+    return std::max(self->history.front().from, self->holds_since);
+}
+
+bool is_recovering(const agent_facts& facts, core::time_point now)
+{
+    return now < facts.recovers_until;
+}
+
+void offer_adoption(packet_header& header, const agent_facts& facts, core::time_point now)
+{
+    if (!is_recovering(facts, now) || facts.domain_out || facts.upstream_disowns)
+        return;
+    const auto left = std::chrono::duration_cast<core::milliseconds>(facts.recovers_until - now).count();
+    const auto left_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 1));
+    if (header.restarted && header.recovery_left_ms >= left_ms)
+        return;
+    header.restarted = header.position;
+    header.recovery_left_ms = left_ms;
+}
+
+void add_own_chain(packet_header& header, const packet_facts& packet, const agent_facts& facts)
+{
+    if (!facts.members || header.table >= facts.applied)
+        return;
+    for (const auto& own : facts.members->chain_of(bucket_of_flow(packet.flow)).members) {
+        const bool named =
+            std::any_of(header.chain.begin(), header.chain.end(), [&own](const auto& it) { return it.id == own.id; });
+        if (!named && header.chain.size() < max_header_members)
+            header.chain.push_back({own.id, own.packet_endpoint});
+    }
+}
+
+bool has_searched(
+    const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
+{
+    return now < facts.current_until && has_asked_all(packet, header, facts);
+}
+
+std::vector<chain_member> members_left_out(
+    std::uint32_t bucket, const packet_header& header, const service_chains& members)
+{
+    std::vector<core::upstream_id> used;
+    for (const auto& it : header.chain)
+        used.push_back(it.id);
+    auto result = members.members_outside(bucket, used);
+    if (!members.chain_of(bucket).truncated)
+        return result;
+    const auto holders = members.holders(bucket);
+    std::stable_partition(result.begin(), result.end(),
+        [&holders](const auto& it) { return std::find(holders.begin(), holders.end(), it) != holders.end(); });
+    return result;
+}
+
+bool begin_placement(packet_header& header)
+{
+    if (header.candidates == 0 || header.candidates > header.chain.size())
+        return false;
+    header.position = 0;
+    header.asked = 0;
+    header.phase = search_phase::place;
+    header.is_new = true;
+    return true;
+}
+
+} // namespace ibisdyke::routing::detail
