routing: Tell balancers when an agent stops

The agent's packet thread tells the balancers it has heard in the last 10 s with its last datagram; they take it for unreachable until it answers a probe. Ruled out: a record in the log for each restart, which costs a commit and new chains twice; a delay of the stop, which a platform that ends processes does not wait for. Tests: packet_path_test.cpp, reachability_test.cpp.

--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -24,6 +24,9 @@
 /// At most ten version notices a second for each balancer.
 constexpr std::chrono::milliseconds notice_interval{100};
 
+/// Balancers that have sent nothing for this long are not told of a stop.
+constexpr std::chrono::seconds sender_memory{10};
+
 /// More than the balancers of the design size (1,400). Bounds the memory if senders are forged.
 constexpr std::size_t max_notice_targets = 4096;
 
@@ -132,6 +135,7 @@
         if (sockets_.upstream)
             read_upstream();
     }
+    tell_of_stop(transport::read_clock());
 }
 
 void packet_receiver::read_peers()
@@ -242,6 +246,7 @@
     if (parsed.status != parse_status::parsed)
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
+    note_sender(header.sender, now);
     compare_versions(header, now);
     const auto decision = agent_.decide(parsed.facts, header, *facts_, now);
     if (decision.action == routing::packet_action::place)
@@ -320,6 +325,28 @@
     counters_->notices.add(1);
 }
 
+void packet_receiver::note_sender(const core::endpoint& sender, core::time_point now)
+{
+    if (senders_.size() >= max_notice_targets)
+        senders_.clear();
+    senders_[sender] = now;
+}
+
+/// Lets the balancers send new flows elsewhere from now on, not only when callers have sent SYNs again.
+void packet_receiver::tell_of_stop(core::time_point now)
+{
+    if (!facts_)
+        return;
+    outgoing_.clear();
+    made_.clear();
+    const auto notice = keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self, /*stopping=*/true}));
+    for (const auto& [sender, seen] : senders_) {
+        if (now - seen < sender_memory)
+            outgoing_.push_back({notice, sender});
+    }
+    send_all();
+}
+
 /// Tells a balancer that this agent can be reached. An agent without a table could not take a flow.
 void packet_receiver::answer_probe(const routing::packet_header& probe)
 {
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -137,6 +137,8 @@
     void compare_versions(const routing::packet_header& header, core::time_point now);
     void note_failing(bool failing);
     void answer_probe(const routing::packet_header& probe);
+    void note_sender(const core::endpoint& sender, core::time_point now);
+    void tell_of_stop(core::time_point now);
     void maintain(core::time_point now);
 
     packet_receiver_settings settings_;
@@ -158,6 +160,8 @@
     /// Bytes of datagrams that are not in the batch, until they are sent.
     std::vector<std::unique_ptr<const std::string>> made_;
     std::map<core::endpoint, core::time_point> last_notices_;
+    /// When each balancer was last heard.
+    std::map<core::endpoint, core::time_point> senders_;
     core::time_point last_newer_{};
     /// What was logged last of the upstream's failures.
     bool failing_ = false;
--- a/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/tests/packet_path_test.cpp
@@ -349,6 +349,23 @@
     CHECK(routing::wire::decode_version_notice(parts.message) == expected);
 }
 
+// Guards against SYNs that go to an agent between its planned stop and its start.
+TEST_CASE("an agent that stops tells the balancers that have sent packets")
+{
+    packet_path path(1);
+    path.publish_to_agents({1, 6}, false);
+    path.start();
+    const auto header = routing::wire::encode_origin({1, 6}, path.caller->local());
+    const auto datagram = routing::wire::encode_length(header.size()) + header + udp_packet(3000);
+    send(*path.caller, datagram, path.hosts[0]->agent->local());
+    REQUIRE(path.run_until([&] { return path.hosts[0]->counters.find("agent_dropped_foreign").value() > 0; }));
+    path.hosts[0]->agent->stop();
+    const auto notice = receive(*path.caller, 5s);
+    REQUIRE(notice);
+    const routing::version_notice expected{{1, 6}, path.hosts[0]->id, true};
+    CHECK(routing::wire::decode_version_notice(routing::wire::split_datagram(*notice).message) == expected);
+}
+
 // Guards against an agent that misses an update that balancers already have.
 TEST_CASE("a newer table in a packet reaches the agent's control thread")
 {
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -85,12 +85,14 @@
     friend bool operator==(const packet_header&, const packet_header&) = default;
 };
 
-/// Sent by an agent to the sender of a packet whose header names an older table than the agent's, and in answer to a
-/// probe.
+/// Sent by an agent to the sender of a packet whose header names an older table than the agent's, in answer to a probe,
+/// and when the agent stops.
 struct version_notice {
     core::version latest;
     /// The upstream of the agent.
     core::upstream_id upstream;
+    /// The agent reads no more packets.
+    bool stopping = false;
 
     friend bool operator==(const version_notice&, const version_notice&) = default;
 };
--- a/libraries/ibisdyke/routing/reachability_monitor.cpp
+++ b/libraries/ibisdyke/routing/reachability_monitor.cpp
@@ -61,6 +61,11 @@
     answered_[id] = now;
 }
 
+void reachability_monitor::note_stop(const chain_member& member, core::time_point now)
+{
+    watched_[member.id] = {member.packet_endpoint, probes_before_unreachable + 1, now + recheck_interval};
+}
+
 void reachability_monitor::keep_only(const routing_table& table)
 {
     std::erase_if(watched_, [&table](const auto& it) { return !names(table, it.first); });
--- a/libraries/ibisdyke/routing/reachability_monitor.h
+++ b/libraries/ibisdyke/routing/reachability_monitor.h
@@ -25,6 +25,9 @@
     /// Notes a sign of life of an upstream's agent.
     void note_answer(const core::upstream_id& id, core::time_point now);
 
+    /// Notes that a member's agent stops: it is unreachable until it answers.
+    void note_stop(const chain_member& member, core::time_point now);
+
     /// Forgets upstreams that the table no longer names.
     void keep_only(const routing_table& table);
 
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -38,7 +38,7 @@
     CHECK(wire::decode_packet_header(wire::encode(it)) == it);
     CHECK(wire::decode_packet_header(wire::encode(packet_header{})) == packet_header{});
     CHECK(wire::encode_prefix(it).size() <= wire::max_prefix_bytes);
-    const version_notice notice{{2, 9}, core::make_upstream_id(3, 0)};
+    const version_notice notice{{2, 9}, core::make_upstream_id(3, 0), true};
     CHECK(wire::decode_version_notice(wire::encode(notice)) == notice);
 }
 
--- a/libraries/ibisdyke/routing/tests/reachability_test.cpp
+++ b/libraries/ibisdyke/routing/tests/reachability_test.cpp
@@ -114,6 +114,19 @@
     CHECK_FALSE(it.next_due());
 }
 
+// Guards against new flows that are sent to an agent between its planned stop and its start.
+TEST_CASE("an agent that stops is unreachable at once, and reachable with its next answer")
+{
+    reachability_monitor it;
+    it.note_answer(member(1).id, start);
+    it.note_stop(member(1), start);
+    CHECK(it.unreachable() == routing::unreachable_set{member(1).id});
+    CHECK(it.take_due(start + 249ms).empty());
+    CHECK(it.take_due(start + 250ms).size() == 1);
+    it.note_answer(member(1).id, start + 251ms);
+    CHECK(it.unreachable().empty());
+}
+
 // Guards against a flood of probes under overload, when callers send every SYN again although all agents are there.
 TEST_CASE("an agent that has answered lately is not probed again")
 {
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -69,6 +69,7 @@
     VersionNotice message;
     core::wire::to_wire(it.latest, *message.mutable_latest());
     message.set_upstream(it.upstream.value());
+    message.set_stopping(it.stopping);
     return message.SerializeAsString();
 }
 
@@ -105,7 +106,7 @@
 version_notice decode_version_notice(std::string_view bytes)
 {
     const auto message = core::wire::parse<VersionNotice>(bytes);
-    return {core::wire::from_wire(message.latest()), core::upstream_id(message.upstream())};
+    return {core::wire::from_wire(message.latest()), core::upstream_id(message.upstream()), message.stopping()};
 }
 
 std::string encode_origin(const core::version& table, const core::endpoint& sender)
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -140,10 +140,26 @@
 void balancer_process::take_notice(const routing::version_notice& it)
 {
     refresh(it.latest);
-    reachability_.note_answer(it.upstream, transport::read_clock());
+    const auto now = transport::read_clock();
+    if (it.stopping)
+        note_stop(it.upstream, now);
+    else
+        reachability_.note_answer(it.upstream, now);
     publish_forwarding();
 }
 
+void balancer_process::note_stop(const core::upstream_id& agent, core::time_point now)
+{
+    const auto routes = routes_.load();
+    if (!routes)
+        return;
+    for (const auto& service : routes->services()) {
+        if (const auto* const found = service->find_member(agent))
+            reachability_.note_stop(found->target, now);
+    }
+    schedule_probe(now);
+}
+
 void balancer_process::note_repeated_syn(const std::vector<routing::chain_member>& candidates)
 {
     reachability_.suspect(candidates, transport::read_clock());
@@ -165,6 +181,11 @@
         host_.counters().add("forwarder_probes_sent", due.size());
     }
     publish_forwarding();
+    schedule_probe(now);
+}
+
+void balancer_process::schedule_probe(core::time_point now)
+{
     if (const auto next = reachability_.next_due())
         probe_timer_.start(std::chrono::ceil<core::milliseconds>(*next - now));
 }
--- a/services/balancer/balancer_process.h
+++ b/services/balancer/balancer_process.h
@@ -43,7 +43,9 @@
     void read_notices();
     void take_notice(const routing::version_notice& it);
     void note_repeated_syn(const std::vector<routing::chain_member>& candidates);
+    void note_stop(const core::upstream_id& agent, core::time_point now);
     void probe_agents();
+    void schedule_probe(core::time_point now);
     void publish_forwarding();
     void create_gateway(const settings::setting_values& values);
     void create_control_connections(const settings::setting_values& values);
--- a/utilities/measure/deployment/instance.cpp
+++ b/utilities/measure/deployment/instance.cpp
@@ -20,6 +20,19 @@
 
 } // namespace
 
+std::string program_of(instance_kind kind)
+{
+    switch (kind) {
+    case instance_kind::control:
+        return "control";
+    case instance_kind::balancer:
+        return "balancer";
+    case instance_kind::agent:
+        break;
+    }
+    return "agent";
+}
+
 std::vector<instance> list_instances(const topology& it)
 {
     std::vector<instance> result;
--- a/utilities/measure/deployment/instance.h
+++ b/utilities/measure/deployment/instance.h
@@ -14,6 +14,9 @@
     agent,
 };
 
+/// Returns the file name of a kind's program.
+std::string program_of(instance_kind kind);
+
 /// One daemon of the deployment.
 struct instance {
     instance_kind kind = instance_kind::control;
--- a/utilities/measure/deployment/supervisor.cpp
+++ b/utilities/measure/deployment/supervisor.cpp
@@ -9,23 +9,6 @@
 
 namespace ibisdyke::measure {
 
-namespace {
-
-std::string program_of(instance_kind kind)
-{
-    switch (kind) {
-    case instance_kind::control:
-        return "control";
-    case instance_kind::balancer:
-        return "balancer";
-    case instance_kind::agent:
-        break;
-    }
-    return "agent";
-}
-
-} // namespace
-
 supervisor::supervisor(const topology& deployment, std::vector<instance> instances, const address_plan& addresses,
     run_folders folders, const std::string& bootstrap_token, QObject* parent)
     : QObject(parent)
