--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -176,9 +176,10 @@
     if (!due.empty() && routes_.load()) {
         const auto probe =
             QByteArray::fromStdString(routing::wire::encode_probe_datagram(routes_.load()->at(), notices_endpoint_));
-        for (const auto& it : due)
-            notices_->writeDatagram(probe, QHostAddress(it.address), it.port);
-        host_.counters().add("forwarder_probes_sent", due.size());
+        for (const auto& it : due) {
+            const auto sent = notices_->writeDatagram(probe, QHostAddress(it.address), it.port);
+            host_.counters().add(sent < 0 ? "forwarder_probes_refused" : "forwarder_probes_sent", 1);
+        }
     }
     publish_forwarding();
     schedule_probe(now);
