replication: Stop a leader only when its successor takes changes

It now waits, for a second at most as before, until it has applied an entry of the new term. Ruled out as a mend: a wait in the test, which would not check the promise.

--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -200,7 +200,7 @@
     const auto end = transport::read_clock() + limit;
     constexpr core::milliseconds poll_period{10};
     connect(poll, &QTimer::timeout, this, [this, poll, end, done = std::move(done)] {
-        if (is_leader() && transport::read_clock() < end)
+        if (!has_successor() && transport::read_clock() < end)
             return;
         poll->deleteLater();
         poll->stop();
@@ -209,6 +209,13 @@
     poll->start(poll_period);
 }
 
+/// Whether another member leads and has committed an entry of its term, so that it takes changes. It may have needed
+/// this member's vote and acknowledgement for that.
+bool replicated_control_group::has_successor() const
+{
+    return !node_->leads(transport::read_clock()) && applied_.term == node_->term();
+}
+
 void replicated_control_group::on_call(const std::string& body, const responder& answer)
 {
     if (!is_usable()) {
--- a/libraries/ibisdyke/frontends/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/replicated_control_group.h
@@ -82,7 +82,7 @@
     void add_member(const replication::member& added, change_callback done);
     void remove_member(core::control_id id, change_callback done);
 
-    /// Asks another member to lead. `done` runs once this process does not lead, at the latest after `limit`.
+    /// Asks another member to lead. `done` runs once it does and takes changes, at the latest after `limit`.
     void hand_over(core::milliseconds limit, std::function<void()> done);
 
     std::string name() const override { return "replication"; }
@@ -127,6 +127,7 @@
     void wait_for_room(const std::string& why);
     void fail_storage(const std::string& why);
     bool is_usable() const { return storage_state_ == storage_state::usable; }
+    bool has_successor() const;
     void record_commit();
     void carry_out(const work& it);
     void send(const replication::message& it);
