--- a/libraries/ibisdyke/frontends/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/file_log_storage.cpp
@@ -32,13 +32,24 @@
 constexpr const char* snapshot_name = "snapshot";
 constexpr const char* lock_name = "lock";
 
+/// Returns what a system call that has set errno could not do.
+std::string describe(const std::string& action, const std::filesystem::path& file)
+{
+    return action + " " + file.string() + ": " + std::strerror(errno);
+}
+
+/// For calls after which nothing is known of the file: a disk without room is no special case.
+[[noreturn]] void fail_for_good(const std::string& action, const std::filesystem::path& file)
+{
+    throw core::system_failure(describe(action, file));
+}
+
 [[noreturn]] void fail(const std::string& action, const std::filesystem::path& file)
 {
-    const auto why = action + " " + file.string() + ": " + std::strerror(errno);
     // EFBIG: the limit of a file's size takes the place of the disk's.
     if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
-        throw core::storage_full(why);
-    throw core::system_failure(why);
+        throw core::storage_full(describe(action, file));
+    fail_for_good(action, file);
 }
 
 std::uint32_t checksum(std::string_view bytes)
@@ -155,7 +166,7 @@
 {
     // Whatever the cause, what a failed sync has left on the disk is unknown.
     if (::fdatasync(descriptor) != 0)
-        throw core::system_failure("cannot sync " + file.string() + ": " + std::strerror(errno));
+        fail_for_good("cannot sync", file);
 }
 
 /// Returns the payload of a file that holds one record.
@@ -323,7 +334,7 @@
 void file_log_storage::cut_log()
 {
     if (::ftruncate(log_file_, static_cast<off_t>(log_bytes_)) != 0)
-        throw core::system_failure("cannot shorten " + path(log_name).string() + ": " + std::strerror(errno));
+        fail_for_good("cannot shorten", path(log_name));
 }
 
 void file_log_storage::write_log(const replication::write_batch& content)
@@ -335,7 +346,7 @@
         ::close(log_file_);
     log_file_ = ::open(path(log_name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
     if (log_file_ < 0)
-        throw core::system_failure("cannot open " + path(log_name).string() + ": " + std::strerror(errno));
+        fail_for_good("cannot open", path(log_name));
 }
 
 void file_log_storage::replace_file(const std::string& name, std::string_view content) const
@@ -362,12 +373,13 @@
 {
     const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0)
-        throw core::system_failure("cannot open " + folder_.string() + ": " + std::strerror(errno));
+        fail_for_good("cannot open", folder_);
     const int result = ::fsync(descriptor);
     const auto cause = errno;
     ::close(descriptor);
+    errno = cause;
     if (result != 0)
-        throw core::system_failure("cannot sync " + folder_.string() + ": " + std::strerror(cause));
+        fail_for_good("cannot sync", folder_);
 }
 
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/flow_log.cpp
@@ -4,8 +4,6 @@
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/decision_names.h"
 
-#include <algorithm>
-
 namespace ibisdyke::frontends {
 
 namespace {
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packet_receiver.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::seconds sender_memory{10};
 
 /// More than the balancers of the design size (1,400). Bounds the memory if senders are forged.
-constexpr std::size_t max_notice_targets = 4096;
+constexpr std::size_t max_balancers = 4096;
 
 } // namespace
 
@@ -246,8 +246,7 @@
     if (parsed.status != parse_status::parsed)
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
-    note_sender(header.sender, now);
-    compare_versions(header, now);
+    compare_versions(header, note_sender(header.sender, now), now);
     const auto decision = agent_.decide(parsed.facts, header, *facts_, now);
     if (decision.action == routing::packet_action::place)
         ++usage_.flows;
@@ -304,7 +303,13 @@
     outgoing_.push_back({kept, formats_.callers->caller_endpoint(kept)});
 }
 
-void packet_receiver::compare_versions(const routing::packet_header& header, core::time_point now)
+/// Tells a balancer which version this agent has, and that it can be reached.
+void packet_receiver::send_notice(const core::endpoint& to)
+{
+    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self})), to});
+}
+
+void packet_receiver::compare_versions(const routing::packet_header& header, balancer& sender, core::time_point now)
 {
     if (header.table > facts_->applied && now - last_newer_ >= notice_interval) {
         last_newer_ = now;
@@ -313,23 +318,20 @@
             [callback = on_newer_version_, latest = header.table, from = header.sender] { callback(latest, from); },
             Qt::QueuedConnection);
     }
-    if (header.table >= facts_->applied)
-        return;
-    if (last_notices_.size() >= max_notice_targets)
-        last_notices_.clear();
-    auto [it, is_new] = last_notices_.try_emplace(header.sender, now);
-    if (!is_new && now - it->second < notice_interval)
+    if (header.table >= facts_->applied || now - sender.last_notice < notice_interval)
         return;
-    it->second = now;
-    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self})), header.sender});
+    sender.last_notice = now;
+    send_notice(header.sender);
     counters_->notices.add(1);
 }
 
-void packet_receiver::note_sender(const core::endpoint& sender, core::time_point now)
+packet_receiver::balancer& packet_receiver::note_sender(const core::endpoint& sender, core::time_point now)
 {
-    if (senders_.size() >= max_notice_targets)
-        senders_.clear();
-    senders_[sender] = now;
+    if (balancers_.size() >= max_balancers)
+        balancers_.clear();
+    auto& result = balancers_[sender];
+    result.last_heard = now;
+    return result;
 }
 
 /// Lets the balancers send new flows elsewhere from now on, not only when callers have sent SYNs again.
@@ -340,20 +342,20 @@
     outgoing_.clear();
     made_.clear();
     const auto notice = keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self, /*stopping=*/true}));
-    for (const auto& [sender, seen] : senders_) {
-        if (now - seen < sender_memory)
-            outgoing_.push_back({notice, sender});
+    for (const auto& [endpoint, it] : balancers_) {
+        if (now - it.last_heard < sender_memory)
+            outgoing_.push_back({notice, endpoint});
     }
     send_all();
 }
 
-/// Tells a balancer that this agent can be reached. An agent without a table could not take a flow.
+/// An agent without a table could not take a flow, so it counts as unreachable.
 void packet_receiver::answer_probe(const routing::packet_header& probe)
 {
     if (!facts_)
         return counters_->not_ready.add(1);
     counters_->probes.add(1);
-    outgoing_.push_back({keep(routing::wire::encode_notice_datagram({facts_->applied, facts_->self})), probe.sender});
+    send_notice(probe.sender);
 }
 
 void packet_receiver::note_failing(bool failing)
--- a/libraries/ibisdyke/frontends/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packet_receiver.h
@@ -119,6 +119,12 @@
 private:
     struct packet_counters;
 
+    /// A balancer that has sent packets.
+    struct balancer {
+        core::time_point last_heard{};
+        core::time_point last_notice{};
+    };
+
     void run();
     void read_peers();
     void read_upstream();
@@ -134,10 +140,11 @@
     void deliver(std::string_view packet, const routing::packet_header& header);
     std::string_view keep(std::string bytes);
     void reject(std::string_view packet);
-    void compare_versions(const routing::packet_header& header, core::time_point now);
+    void send_notice(const core::endpoint& to);
+    void compare_versions(const routing::packet_header& header, balancer& sender, core::time_point now);
     void note_failing(bool failing);
     void answer_probe(const routing::packet_header& probe);
-    void note_sender(const core::endpoint& sender, core::time_point now);
+    balancer& note_sender(const core::endpoint& sender, core::time_point now);
     void tell_of_stop(core::time_point now);
     void maintain(core::time_point now);
 
@@ -159,9 +166,7 @@
     std::vector<transport::outgoing_datagram> outgoing_;
     /// Bytes of datagrams that are not in the batch, until they are sent.
     std::vector<std::unique_ptr<const std::string>> made_;
-    std::map<core::endpoint, core::time_point> last_notices_;
-    /// When each balancer was last heard.
-    std::map<core::endpoint, core::time_point> senders_;
+    std::map<core::endpoint, balancer> balancers_;
     core::time_point last_newer_{};
     /// What was logged last of the upstream's failures.
     bool failing_ = false;
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -25,9 +25,6 @@
 /// A commit that no further write follows is recorded after this time, so that a burst of changes costs one write.
 constexpr core::milliseconds commit_record_delay{300};
 
-/// How often a full disk is tried again.
-constexpr core::milliseconds room_check_period{250};
-
 const char* role_name(replication::raft_role it)
 {
     switch (it) {
@@ -316,7 +313,7 @@
         observability::write_log(observability::log_level::error, "storage_full", {{"error", why}});
         fail_waiting();
     }
-    QTimer::singleShot(room_check_period, this, [this] {
+    QTimer::singleShot(replication::room_check_period, this, [this] {
         if (!write_out())
             return;
         storage_state_ = storage_state::usable;
--- a/libraries/ibisdyke/observability/log.cpp
+++ b/libraries/ibisdyke/observability/log.cpp
@@ -1,6 +1,7 @@
 #include "ibisdyke/observability/log.h"
 
 #include "ibisdyke/core/time.h"
+#include "ibisdyke/observability/clock.h"
 #include "ibisdyke/observability/log_limit.h"
 #include "ibisdyke/observability/log_output.h"
 
@@ -21,7 +22,6 @@
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
-#include <ctime>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -84,13 +84,6 @@
     return "info";
 }
 
-core::time_point read_monotonic_clock()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return core::time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
-}
-
 /// The queue, its writer and the limits. One per process.
 class pipeline {
 public:
@@ -128,7 +121,7 @@
     {
         {
             const std::scoped_lock lock(mutex_);
-            if (!limit_.allows(event, read_monotonic_clock())) {
+            if (!limit_.allows(event, read_clock())) {
                 if (!std::exchange(has_suppressed_, true))
                     changed_.notify_one();
                 return;
@@ -185,7 +178,7 @@
         std::vector<std::pair<std::string, std::uint64_t>> suppressed;
         {
             const std::scoped_lock lock(mutex_);
-            const auto now = read_monotonic_clock();
+            const auto now = read_clock();
             if (!has_suppressed_ || (now - summarised_ < summary_period && !stopping_))
                 return;
             summarised_ = now;
--- a/libraries/ibisdyke/observability/log_output.h
+++ b/libraries/ibisdyke/observability/log_output.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "ibisdyke/core/time.h"
-
 #include <cstddef>
 #include <string>
 #include <string_view>
--- a/libraries/ibisdyke/replication/log_storage.h
+++ b/libraries/ibisdyke/replication/log_storage.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "ibisdyke/core/time.h"
 #include "ibisdyke/replication/messages.h"
 
 namespace ibisdyke::replication {
 
+/// How often a storage that was full is tried again.
+constexpr core::milliseconds room_check_period{250};
+
 /// Keeps a member's vote, log and snapshot across restarts.
 class log_storage {
 public:
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -32,8 +32,8 @@
     /// The upstream has sent data on the flow. Returns whether it owed an answer.
     bool answer(const flow_key& flow, core::time_point now);
 
-    /// The flow has ended, or the upstream does not hold it.
-    /// Returns whether the upstream owed an answer to a request that was sent.
+    /// The flow has ended, or the upstream does not hold it. Returns whether the upstream owed an answer to a request
+    /// that was sent.
     bool forget(const flow_key& flow, core::time_point now);
 
     /// Returns how many requests have become overdue since the last call: still without an answer after several times
--- a/libraries/ibisdyke/routing/reachability_monitor.cpp
+++ b/libraries/ibisdyke/routing/reachability_monitor.cpp
@@ -30,15 +30,6 @@
     return probes_sent > probes_before_unreachable;
 }
 
-bool names(const routing_table& table, const core::upstream_id& id)
-{
-    const auto& services = table.services();
-    return std::any_of(services.begin(), services.end(), [&id](const auto& it) {
-        const auto* const found = it->find_member(id);
-        return found != nullptr && found->reachable;
-    });
-}
-
 } // namespace
 
 void reachability_monitor::suspect(const std::vector<chain_member>& members, core::time_point now)
@@ -68,7 +59,10 @@
 
 void reachability_monitor::keep_only(const routing_table& table)
 {
-    std::erase_if(watched_, [&table](const auto& it) { return !names(table, it.first); });
+    std::erase_if(watched_, [&table](const auto& it) {
+        const auto* const found = table.find_member(it.first);
+        return found == nullptr || !found->reachable;
+    });
 }
 
 std::vector<core::endpoint> reachability_monitor::take_due(core::time_point now)
--- a/libraries/ibisdyke/routing/routing_table.cpp
+++ b/libraries/ibisdyke/routing/routing_table.cpp
@@ -54,6 +54,15 @@
     return i == no_service ? nullptr : services_[i];
 }
 
+const member* routing_table::find_member(const core::upstream_id& id) const
+{
+    for (const auto& it : services_) {
+        if (const auto* const found = it->find_member(id))
+            return found;
+    }
+    return nullptr;
+}
+
 const chain* routing_table::find_chain(const core::service_id& service, std::uint32_t bucket) const
 {
     const auto i = index_of(service);
--- a/libraries/ibisdyke/routing/routing_table.h
+++ b/libraries/ibisdyke/routing/routing_table.h
@@ -39,6 +39,9 @@
     /// Returns null when the service is unknown.
     std::shared_ptr<const service_chains> find_service(const core::service_id& service) const;
 
+    /// Returns the upstream of that id, or null when no service has it.
+    const member* find_member(const core::upstream_id& id) const;
+
     /// Returns the chain of a bucket, or null when the service is unknown.
     const chain* find_chain(const core::service_id& service, std::uint32_t bucket) const;
 
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -151,12 +151,10 @@
 void balancer_process::note_stop(const core::upstream_id& agent, core::time_point now)
 {
     const auto routes = routes_.load();
-    if (!routes)
+    const auto* const found = routes ? routes->find_member(agent) : nullptr;
+    if (found == nullptr)
         return;
-    for (const auto& service : routes->services()) {
-        if (const auto* const found = service->find_member(agent))
-            reachability_.note_stop(found->target, now);
-    }
+    reachability_.note_stop(found->target, now);
     schedule_probe(now);
 }
 
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -28,8 +28,6 @@
 constexpr core::milliseconds max_drain_limit{60'000};
 constexpr core::milliseconds hand_over_limit{1000};
 constexpr core::milliseconds bootstrap_retry{100};
-/// How often a full disk is tried again at the start.
-constexpr core::milliseconds room_check_period{250};
 constexpr const char* form_yes = "yes";
 constexpr const char* bootstrap_command = "bootstrap-token";
 
@@ -149,7 +147,7 @@
             if (!waits)
                 observability::write_log(observability::log_level::error, "storage_full", {{"error", it.what()}});
         }
-        if (transport::signal_watcher::wait_for_stop(room_check_period))
+        if (transport::signal_watcher::wait_for_stop(replication::room_check_period))
             throw core::error("stopped while the disk of " + folder + " had no room");
     }
 }
