replication: Offer leadership only to a member with the whole log

The offer to take over was sent beside the last entries and could arrive before them. The test's cluster looked up free ports and closed them before the processes listened. They are ephemeral ports, so an outgoing connection of another test could take one: "cannot listen ... already in use" (the runs without a leader).

Change: a leader that hands over refuses commands, offers leadership to the first voter that answers with the whole log, one offer a round, and holds no election until the limit has passed. A sole voter no longer waits for the limit. The tests' clusters claim a loopback range and use fixed ports below the ephemeral range.

One test is replaced: it asked that the first message is the offer; the new one asks over 200 schedules with late messages that another member leads within half the limit and the old one does not.

--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/replicated_control_group.cpp
@@ -192,12 +192,16 @@
         done();
         return;
     }
-    enqueue({node_->hand_over(transport::read_clock()), std::nullopt, nullptr});
+    const auto now = transport::read_clock();
+    enqueue({node_->hand_over(now, limit), std::nullopt, nullptr});
+    if (!node_->hands_over(now)) {
+        done();
+        return;
+    }
     auto* const poll = new QTimer(this);
-    const auto end = transport::read_clock() + limit;
     constexpr core::milliseconds poll_period{10};
-    connect(poll, &QTimer::timeout, this, [this, poll, end, done = std::move(done)] {
-        if (!has_successor() && transport::read_clock() < end)
+    connect(poll, &QTimer::timeout, this, [this, poll, done = std::move(done)] {
+        if (!has_successor() && node_->hands_over(transport::read_clock()))
             return;
         poll->deleteLater();
         poll->stop();
--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -44,7 +44,7 @@
         return result;
     const auto first = std::min_element(options_.initial_members.begin(), options_.initial_members.end(),
         [](const auto& a, const auto& b) { return a.id < b.id; });
-    if (may_campaign())
+    if (may_campaign(now))
         campaign(vote_kind::probe, now, result);
     else if (log_.empty() && first != options_.initial_members.end() && first->id == options_.self)
         campaign(vote_kind::bootstrap_probe, now, result);
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -48,6 +48,7 @@
 /// Whether a proposal was appended.
 enum class proposal_status : std::uint8_t {
     appended,
+    /// This member does not lead, or hands over.
     not_leader,
     /// Another change of the group is in progress, or the leader has not committed an entry of its term yet.
     busy,
@@ -89,8 +90,13 @@
     /// the state up to committed() at the time of the call may then be read. Nothing when this member does not lead.
     std::optional<std::uint64_t> begin_read(core::time_point now, output& result);
 
-    /// Asks the most advanced other voter to take over.
-    output hand_over(core::time_point now);
+    /// Asks the first other voter that answers with the whole log to take over. Until `limit` has passed this member
+    /// refuses commands, so that the others can reach the end of its log, and holds no elections. Does nothing when it
+    /// does not lead or is the only voter.
+    output hand_over(core::time_point now, core::milliseconds limit);
+
+    /// Whether this member is handing leadership over.
+    bool hands_over(core::time_point now) const { return now < hand_over_until_; }
 
     /// Replaces the log up to `index`, which must have been applied, by the state after it.
     output compact(std::uint64_t index, std::string state);
@@ -171,7 +177,9 @@
     void reset_election_timer(core::time_point now);
     void set_election_timer(core::time_point now, core::milliseconds shortest, core::milliseconds longest);
     bool is_voter(const group_configuration& group) const;
-    bool may_campaign() const;
+    bool may_campaign(core::time_point now) const;
+    /// Asks the member to take over, when this member hands over and the other holds the whole log.
+    void offer_leadership(core::control_id to, core::time_point now, output& result);
     bool counts(const member& it) const;
     /// Returns the highest value that a majority of the voters has reached. A voter that does not count has reached 0.
     std::uint64_t reached_by_majority(std::uint64_t progress::*reached, std::uint64_t own) const;
@@ -198,6 +206,9 @@
     std::map<core::control_id, progress> progress_;
     std::uint64_t round_ = 0;
     std::set<std::uint64_t> reads_;
+    core::time_point hand_over_until_{};
+    /// The round in which leadership was last offered. One offer a round keeps members from splitting the votes.
+    std::uint64_t offered_round_ = 0;
 
     core::version incoming_last_;
     std::string incoming_;
--- a/libraries/ibisdyke/replication/raft_node_election.cpp
+++ b/libraries/ibisdyke/replication/raft_node_election.cpp
@@ -1,5 +1,6 @@
 #include "ibisdyke/replication/raft_node.h"
 
+#include <algorithm>
 #include <utility>
 
 // The elections of raft_node: votes, the first term of a group, and the hand-over of leadership.
@@ -174,32 +175,39 @@
 
 void raft_node::handle(const message& from, const timeout_now& it, core::time_point now, output& result)
 {
-    if (it.term == ballot_.term && leader_ == from.from && may_campaign())
+    if (it.term == ballot_.term && leader_ == from.from && may_campaign(now))
         campaign(vote_kind::transfer, now, result);
 }
 
-output raft_node::hand_over(core::time_point now)
+output raft_node::hand_over(core::time_point now, core::milliseconds limit)
 {
     output result;
-    if (role_ != raft_role::leader)
+    const auto& members = configuration().members;
+    const bool has_others = std::any_of(members.begin(), members.end(),
+        [&](const auto& it) { return it.id != options_.self && it.role == member_role::voter; });
+    if (role_ != raft_role::leader || !has_others)
         return result;
-    const member* heir = nullptr;
-    for (const auto& it : configuration().members) {
-        if (it.id == options_.self || !counts(it))
-            continue;
-        if (heir == nullptr || match_of(it.id) > match_of(heir->id))
-            heir = &it;
-    }
-    if (heir == nullptr)
-        return result;
-    if (match_of(heir->id) < log_.last().index)
-        send_append(heir->id, now, result);
-    send(heir->id, timeout_now{ballot_.term}, result);
+    hand_over_until_ = now + limit;
+    broadcast(now, result);
     return result;
 }
 
-bool raft_node::may_campaign() const
+void raft_node::offer_leadership(core::control_id to, core::time_point now, output& result)
+{
+    if (!hands_over(now) || offered_round_ == round_ || match_of(to) < log_.last().index)
+        return;
+    const auto& members = configuration().members;
+    const auto heir = std::find_if(members.begin(), members.end(), [&](const auto& it) { return it.id == to; });
+    if (heir == members.end() || !counts(*heir))
+        return;
+    offered_round_ = round_;
+    send(to, timeout_now{ballot_.term}, result);
+}
+
+bool raft_node::may_campaign(core::time_point now) const
 {
+    if (hands_over(now))
+        return false;
     if (is_voter(configuration()) || is_voter(log_.configuration_at(committed_)))
         return true;
     // A member that is being removed may be the only one whose log is complete enough to commit its own removal. Its
--- a/libraries/ibisdyke/replication/raft_node_replication.cpp
+++ b/libraries/ibisdyke/replication/raft_node_replication.cpp
@@ -102,6 +102,7 @@
     if (state.next <= log_.last().index)
         send_append(from.from, now, result);
     maintain_group(now, result);
+    offer_leadership(from.from, now, result);
 }
 
 void raft_node::handle(const message& from, const snapshot_request& it, core::time_point now, output& result)
@@ -153,7 +154,7 @@
     entry_kind kind, std::string command, group_configuration members, core::time_point now)
 {
     proposal made;
-    if (!leads(now))
+    if (!leads(now) || hands_over(now))
         return made;
     made.status = proposal_status::appended;
     made.at = {ballot_.term, log_.last().index + 1};
--- a/libraries/ibisdyke/replication/tests/raft_node_test.cpp
+++ b/libraries/ibisdyke/replication/tests/raft_node_test.cpp
@@ -108,14 +108,58 @@
     CHECK(group_.converged());
 }
 
-TEST_CASE_METHOD(raft_fixture, "a leader that stops hands over without waiting for an election timeout")
+// Guards against a hand-over that fails because the offer overtakes the last entries, after which the member that
+// stops is elected again.
+TEST_CASE("a leader that stops hands over to a member that holds the whole log")
+{
+    constexpr std::uint64_t schedules = 200;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        CAPTURE(seed);
+        simulated_group group(3, 0, seed);
+        group.heal();
+        for (int i = 0; i < 5 * steps_per_second && !group.leader(); ++i)
+            group.quiet_step();
+        REQUIRE(group.leader());
+        const auto old = *group.leader();
+        REQUIRE(group.propose(old, "last"));
+        group.hand_over(old);
+        CHECK_FALSE(group.propose(old, "refused"));
+        // Half of the limit, which leaves time for an election when messages are late.
+        for (int i = 0; i < steps_per_second / 2 && (!group.leader() || group.leader() == old); ++i)
+            group.quiet_step();
+        REQUIRE(group.leader());
+        CHECK(*group.leader() != old);
+        CHECK_FALSE(group.node(old).leads(group.now()));
+    }
+}
+
+// Guards against a member that does not lead again after a hand-over that nobody could take.
+TEST_CASE_METHOD(raft_fixture, "a leader whose hand-over nobody takes goes on after the limit")
 {
     const auto leader = wait_for_leader();
     run(20);
-    auto copy = group_.node(leader);
-    const auto result = copy.hand_over(group_.now());
-    REQUIRE_FALSE(result.messages.empty());
-    CHECK(std::holds_alternative<timeout_now>(result.messages.back().body));
+    group_.cut(other_than(leader));
+    group_.cut(core::control_id(6 - leader.value() - other_than(leader).value()));
+    group_.hand_over(leader);
+    run(2 * steps_per_second);
+    CHECK_FALSE(group_.propose(leader, "refused"));
+    group_.join(other_than(leader));
+    run(5 * steps_per_second);
+    REQUIRE(group_.leader());
+    CHECK(group_.propose(*group_.leader(), "taken"));
+}
+
+// Guards against a process that waits the whole limit although nobody can take over.
+TEST_CASE("a sole member does not hand over")
+{
+    simulated_group group(1, 0, 42);
+    group.heal();
+    for (int i = 0; i < 5 * steps_per_second && !group.leader(); ++i)
+        group.quiet_step();
+    REQUIRE(group.leader());
+    group.hand_over(*group.leader());
+    CHECK_FALSE(group.node(*group.leader()).hands_over(group.now()));
+    CHECK(group.propose(*group.leader(), "taken"));
 }
 
 // Guards against a group that can never commit again: it would need members that do not answer.
--- a/libraries/ibisdyke/replication/tests/simulated_group.cpp
+++ b/libraries/ibisdyke/replication/tests/simulated_group.cpp
@@ -202,7 +202,7 @@
         carry_out(id, it.node->compact(it.applied, std::to_string(it.state)));
     }
     if (it.node && chance(rates_.hand_over))
-        carry_out(id, it.node->hand_over(now_));
+        hand_over(id);
     if (it.node && chance(rates_.change_group)) {
         const auto other = random_member();
         const auto& members = it.node->configuration().members;
@@ -221,6 +221,12 @@
     return made.status == proposal_status::appended;
 }
 
+void simulated_group::hand_over(core::control_id id)
+{
+    constexpr core::milliseconds limit{1000};
+    carry_out(id, members_.at(id).node->hand_over(now_, limit));
+}
+
 void simulated_group::deliver_due()
 {
     while (!network_.empty() && network_.begin()->first <= now_) {
--- a/libraries/ibisdyke/replication/tests/simulated_group.h
+++ b/libraries/ibisdyke/replication/tests/simulated_group.h
@@ -46,6 +46,7 @@
     /// Returns the member that leads with the highest term, or nothing.
     std::optional<core::control_id> leader() const;
     bool propose(core::control_id id, const std::string& command);
+    void hand_over(core::control_id id);
     std::uint64_t committed_count() const { return committed_.size(); }
     std::uint64_t election_count() const { return leaders_.size(); }
     std::uint64_t wipe_count() const { return wipes_; }
--- a/libraries/ibisdyke/testing/control_cluster.h
+++ b/libraries/ibisdyke/testing/control_cluster.h
@@ -35,21 +35,17 @@
         QJsonObject json;
     };
 
-    /// Finds the programs in bin/ beside the folder of the running program.
+    /// Finds the programs in bin/ beside the folder of the running program. Throws core::system_failure when all
+    /// ranges of addresses are taken by other clusters.
     explicit control_cluster(int members)
         : members_(members)
+        , processes_(static_cast<std::size_t>(members) + 1)
     {
-        std::vector<std::unique_ptr<QTcpServer>> holders;
-        const auto free_port = [&] {
-            holders.push_back(std::make_unique<QTcpServer>());
-            holders.back()->listen(QHostAddress::LocalHost);
-            return holders.back()->serverPort();
-        };
-        for (int i = 0; i <= members; ++i) {
-            peer_ports_.push_back(free_port());
-            admin_ports_.push_back(free_port());
+        constexpr quint32 last_range = 250;
+        while (!claim_.listen(QHostAddress(address(0)), claim_port)) {
+            if (++range_ > last_range)
+                throw core::system_failure("all loopback address ranges are in use by other clusters");
         }
-        processes_.resize(static_cast<std::size_t>(members) + 1);
     }
 
     static QString program(const QString& name)
@@ -58,8 +54,8 @@
     }
 
     int members() const { return members_; }
-    QString admin(int id) const { return QString("127.0.0.1:%1").arg(admin_ports_.at(index(id))); }
-    QString peer(int id) const { return QString("127.0.0.1:%1").arg(peer_ports_.at(index(id))); }
+    QString admin(int id) const { return endpoint(id, admin_port); }
+    QString peer(int id) const { return endpoint(id, peer_port); }
     QString data(int id) const { return root_.path() + QString("/data%1").arg(id); }
 
     /// Extra arguments of processes that are started later.
@@ -94,8 +90,8 @@
             arguments += {"--peers", peers.join(',')};
         auto& it = processes_.at(index(id));
         it = std::make_unique<QProcess>();
-        it->setStandardErrorFile(root_.path() + QString("/log%1").arg(id), QIODevice::Append);
-        it->setStandardOutputFile(QProcess::nullDevice());
+        it->setStandardErrorFile(root_.path() + QString("/errors%1").arg(id), QIODevice::Append);
+        it->setStandardOutputFile(root_.path() + QString("/log%1").arg(id), QIODevice::Append);
         it->start(program("control"), arguments + extra_);
         if (!it->waitForStarted())
             throw core::system_failure("cannot start " + program("control").toStdString());
@@ -238,13 +234,32 @@
     }
 
 private:
+    // Fixed ports below the range of ephemeral ports: a free port that is looked up in advance may be taken by an
+    // outgoing connection of another process before the server listens on it.
+    static constexpr quint16 claim_port = 6999;
+    static constexpr quint16 peer_port = 7003;
+    static constexpr quint16 admin_port = 7004;
+
     static std::size_t index(int id) { return static_cast<std::size_t>(id - 1); }
 
+    /// Address 0 claims the range; each process listens on the address of its number.
+    quint32 address(int id) const
+    {
+        constexpr quint32 cluster_network = (127U << 24U) | (222U << 16U);
+        return cluster_network | (range_ << 8U) | static_cast<quint32>(id + 1);
+    }
+
+    QString endpoint(int id, quint16 port) const
+    {
+        return QString("%1:%2").arg(QHostAddress(address(id)).toString()).arg(port);
+    }
+
     int members_;
+    /// The third octet of the addresses, which no other cluster on this machine uses.
+    quint32 range_ = 0;
+    QTcpServer claim_;
     QTemporaryDir root_;
     QNetworkAccessManager network_;
-    std::vector<quint16> peer_ports_;
-    std::vector<quint16> admin_ports_;
     std::vector<std::unique_ptr<QProcess>> processes_;
     QStringList extra_;
 };
--- a/services/control/tests/control_process_test.cpp
+++ b/services/control/tests/control_process_test.cpp
@@ -274,7 +274,7 @@
     CHECK(cluster_->put_profile("silver", 0, "silver").status == status_ok);
     QString output;
     CHECK(cluster_->ctl({"control", "status"}, &output) == 0);
-    CHECK(output.contains("127.0.0.1"));
+    CHECK(output.contains(cluster_->admin(leader)));
 }
 
 // Guards against a group that cannot be brought back from the one folder that is left.
