frontends: Give the front ends a room for each duty

Cause: 65 files of six duties lay side by side in frontends/, the one folder in which a reader could not see which part may use which.

Change: rooms packets, requests, discovery, control, administration and process, each a library target with its tests and, for control, its wire code.

Ruled out: one namespace for each room. Names are unique over the rooms, and every use would gain a qualifier without telling more than the include does. Rooms by program (balancer, agent, control): balancers relay the feed that control serves, so its server would belong to two of them.

--- a/benchmarks/chain_length.cpp
+++ b/benchmarks/chain_length.cpp
@@ -8,7 +8,7 @@
 //
 //     build/benchmarks/chain_length [SEED]
 
-#include "ibisdyke/frontends/routing_input.h"
+#include "ibisdyke/frontends/discovery/routing_input.h"
 #include "ibisdyke/membership/lease_table.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/routing/consistent_hash_router.h"
--- a/benchmarks/dissemination_benchmark.cpp
+++ b/benchmarks/dissemination_benchmark.cpp
@@ -4,7 +4,7 @@
 #include "ibisdyke/dissemination/delta.h"
 #include "ibisdyke/dissemination/delta_history.h"
 #include "ibisdyke/dissemination/wire/codec.h"
-#include "ibisdyke/frontends/subscription_server.h"
+#include "ibisdyke/frontends/discovery/subscription_server.h"
 #include "ibisdyke/membership/lease_table.h"
 #include "ibisdyke/membership/wire/codec.h"
 #include "ibisdyke/observability/counter_registry.h"
--- a/benchmarks/packet_rate.cpp
+++ b/benchmarks/packet_rate.cpp
@@ -4,8 +4,8 @@
 // that other work on the machine does not decide it.
 
 #include "design_size.h"
-#include "ibisdyke/frontends/ip_packet_format.h"
-#include "ibisdyke/frontends/packet_forwarder.h"
+#include "ibisdyke/frontends/packets/ip_packet_format.h"
+#include "ibisdyke/frontends/packets/packet_forwarder.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/transport/udp_socket.h"
 
--- a/benchmarks/requests_benchmark.cpp
+++ b/benchmarks/requests_benchmark.cpp
@@ -6,7 +6,7 @@
 
 #include "ibisdyke/admission/fifo_admission.h"
 #include "ibisdyke/admission/share_admission.h"
-#include "ibisdyke/frontends/request_thread.h"
+#include "ibisdyke/frontends/requests/request_thread.h"
 #include "ibisdyke/requests/attempt_selector.h"
 #include "ibisdyke/requests/retry_budget.h"
 #include "ibisdyke/testing/request_cluster.h"
--- a/benchmarks/routing_decision.cpp
+++ b/benchmarks/routing_decision.cpp
@@ -3,8 +3,8 @@
 // host changed. Prints one line of JSON. Flows are visited in random order, so that tables do not stay in the caches.
 
 #include "design_size.h"
-#include "ibisdyke/frontends/forwarding_snapshot.h"
-#include "ibisdyke/frontends/ip_packet_format.h"
+#include "ibisdyke/frontends/packets/forwarding_snapshot.h"
+#include "ibisdyke/frontends/packets/ip_packet_format.h"
 #include "ibisdyke/routing/chain_router.h"
 
 #include <QJsonDocument>
--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -1,10 +1,11 @@
 # Adds one slice of the library from the sources in its folder: decision code, generated and hand-written wire code,
-# and the tests below tests/. A slice is named after its folder.
-function(ibisdyke_slice name)
+# and the tests below tests/. A slice is named after its folder; that of a room in a slice has an underscore for the slash.
+function(ibisdyke_slice path)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp
-    ${CMAKE_CURRENT_SOURCE_DIR}/${name}/wire/*.cpp)
-  file(GLOB generated CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/wire/*.pb.cc)
+  set(folder ${CMAKE_CURRENT_SOURCE_DIR}/${path})
+  string(REPLACE "/" "_" name ${path})
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp ${folder}/wire/*.cpp)
+  file(GLOB generated CONFIGURE_DEPENDS ${folder}/wire/*.pb.cc)
   set(target ibisdyke_${name})
   if(sources OR generated)
     add_library(${target} STATIC ${sources} ${generated})
@@ -16,7 +17,7 @@
     target_link_libraries(${target} INTERFACE project_options ${ARG_LINK})
   endif()
   if(IBISDYKE_TESTS)
-    ibisdyke_tests(${name} ${target})
+    ibisdyke_tests(${name} ${target} FOLDER ${folder})
   endif()
 endfunction()
 
--- a/fuzz/decoders_fuzz.cpp
+++ b/fuzz/decoders_fuzz.cpp
@@ -4,7 +4,7 @@
 #include "ibisdyke/accounting/wire/codec.h"
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/dissemination/wire/codec.h"
-#include "ibisdyke/frontends/wire/control_codec.h"
+#include "ibisdyke/frontends/control/wire/control_codec.h"
 #include "ibisdyke/membership/wire/codec.h"
 #include "ibisdyke/replication/wire/codec.h"
 #include "ibisdyke/requests/wire/codec.h"
--- a/fuzz/packets_fuzz.cpp
+++ b/fuzz/packets_fuzz.cpp
@@ -2,7 +2,7 @@
 // core::malformed_message may be thrown.
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/ip_packet_format.h"
+#include "ibisdyke/frontends/packets/ip_packet_format.h"
 #include "ibisdyke/routing/wire/codec.h"
 
 #include <cstddef>
--- a/libraries/ibisdyke/frontends/admin_api.cpp
+++ b/libraries/ibisdyke/frontends/administration/admin_api.cpp
@@ -1,11 +1,11 @@
-#include "ibisdyke/frontends/admin_api.h"
+#include "ibisdyke/frontends/administration/admin_api.h"
 
 #include "ibisdyke/configuration/authorization.h"
 #include "ibisdyke/configuration/validation.h"
 #include "ibisdyke/configuration/wire/json_codec.h"
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/admin_exchange.h"
-#include "ibisdyke/frontends/usage_export.h"
+#include "ibisdyke/frontends/administration/admin_exchange.h"
+#include "ibisdyke/frontends/administration/usage_export.h"
 #include "ibisdyke/transport/clock.h"
 
 #include <QHttpServer>
--- a/libraries/ibisdyke/frontends/admin_api.h
+++ b/libraries/ibisdyke/frontends/administration/admin_api.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibisdyke/frontends/replicated_control_group.h"
-#include "ibisdyke/frontends/rollout_view.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
+#include "ibisdyke/frontends/control/rollout_view.h"
 #include "ibisdyke/observability/counter_sink.h"
 
 #include <QHttpServerRequest>
--- a/libraries/ibisdyke/frontends/admin_exchange.cpp
+++ b/libraries/ibisdyke/frontends/administration/admin_exchange.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/admin_exchange.h"
+#include "ibisdyke/frontends/administration/admin_exchange.h"
 
 #include "ibisdyke/configuration/token_digest.h"
 #include "ibisdyke/core/error.h"
--- a/libraries/ibisdyke/frontends/admin_server.cpp
+++ b/libraries/ibisdyke/frontends/administration/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/admin_server.h"
+#include "ibisdyke/frontends/administration/admin_server.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
--- a/libraries/ibisdyke/frontends/usage_export.cpp
+++ b/libraries/ibisdyke/frontends/administration/usage_export.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/usage_export.h"
+#include "ibisdyke/frontends/administration/usage_export.h"
 
 #include <QJsonObject>
 #include <QString>
--- a/libraries/ibisdyke/frontends/control_state_machine.cpp
+++ b/libraries/ibisdyke/frontends/control/control_state_machine.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/control_state_machine.h"
+#include "ibisdyke/frontends/control/control_state_machine.h"
 
 #include "ibisdyke/configuration/apply.h"
 
--- a/libraries/ibisdyke/frontends/control_state_machine.h
+++ b/libraries/ibisdyke/frontends/control/control_state_machine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/frontends/wire/control_codec.h"
+#include "ibisdyke/frontends/control/wire/control_codec.h"
 #include "ibisdyke/replication/state_machine.h"
 
 #include <optional>
--- a/libraries/ibisdyke/frontends/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/control/file_log_storage.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/file_log_storage.h"
+#include "ibisdyke/frontends/control/file_log_storage.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
--- a/libraries/ibisdyke/frontends/group_upkeep.cpp
+++ b/libraries/ibisdyke/frontends/control/group_upkeep.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/group_upkeep.h"
+#include "ibisdyke/frontends/control/group_upkeep.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
--- a/libraries/ibisdyke/frontends/group_upkeep.h
+++ b/libraries/ibisdyke/frontends/control/group_upkeep.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ibisdyke/core/endpoint.h"
-#include "ibisdyke/frontends/replicated_control_group.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
 #include "ibisdyke/observability/counter_sink.h"
 #include "ibisdyke/replication/group_keeper.h"
 #include "ibisdyke/transport/http2_client.h"
--- a/libraries/ibisdyke/frontends/lease_manager.cpp
+++ b/libraries/ibisdyke/frontends/control/lease_manager.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/lease_manager.h"
+#include "ibisdyke/frontends/control/lease_manager.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
--- a/libraries/ibisdyke/frontends/lease_manager.h
+++ b/libraries/ibisdyke/frontends/control/lease_manager.h
@@ -2,8 +2,8 @@
 
 #include "ibisdyke/accounting/usage_collector.h"
 #include "ibisdyke/core/time.h"
-#include "ibisdyke/frontends/control_group.h"
-#include "ibisdyke/frontends/rollout_view.h"
+#include "ibisdyke/frontends/control/control_group.h"
+#include "ibisdyke/frontends/control/rollout_view.h"
 #include "ibisdyke/membership/follower_table.h"
 #include "ibisdyke/membership/lease_table.h"
 #include "ibisdyke/membership/sender_table.h"
--- a/libraries/ibisdyke/frontends/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/replicated_control_group.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
--- a/libraries/ibisdyke/frontends/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibisdyke/frontends/control_group.h"
-#include "ibisdyke/frontends/control_state_machine.h"
+#include "ibisdyke/frontends/control/control_group.h"
+#include "ibisdyke/frontends/control/control_state_machine.h"
 #include "ibisdyke/observability/counter_sink.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/replication/log_storage.h"
--- a/libraries/ibisdyke/frontends/route_plan_service.cpp
+++ b/libraries/ibisdyke/frontends/control/route_plan_service.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/route_plan_service.h"
+#include "ibisdyke/frontends/control/route_plan_service.h"
 
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/transport/clock.h"
--- a/libraries/ibisdyke/frontends/route_plan_service.h
+++ b/libraries/ibisdyke/frontends/control/route_plan_service.h
@@ -2,7 +2,7 @@
 
 #include "ibisdyke/configuration/route_plan.h"
 #include "ibisdyke/core/endpoint.h"
-#include "ibisdyke/frontends/replicated_control_group.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
 #include "ibisdyke/observability/counter_sink.h"
 
 #include <QObject>
--- a/libraries/ibisdyke/frontends/tests/control_fixture.h
+++ b/libraries/ibisdyke/frontends/control/tests/control_fixture.h
@@ -3,8 +3,8 @@
 #include "fake_control_group.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/lease_manager.h"
-#include "ibisdyke/frontends/subscription_server.h"
+#include "ibisdyke/frontends/control/lease_manager.h"
+#include "ibisdyke/frontends/discovery/subscription_server.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/transport/http2_server.h"
 #include "ibisdyke/transport/rpc_router.h"
--- a/libraries/ibisdyke/frontends/tests/fake_control_group.h
+++ b/libraries/ibisdyke/frontends/control/tests/fake_control_group.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/frontends/control_group.h"
+#include "ibisdyke/frontends/control/control_group.h"
 
 #include <QTimer>
 
--- a/libraries/ibisdyke/frontends/tests/file_log_storage_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/file_log_storage_test.cpp
@@ -1,5 +1,5 @@
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/file_log_storage.h"
+#include "ibisdyke/frontends/control/file_log_storage.h"
 
 #include <QTemporaryDir>
 
--- a/libraries/ibisdyke/frontends/tests/heartbeat_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/heartbeat_test.cpp
@@ -1,6 +1,6 @@
 #include "control_fixture.h"
 
-#include "ibisdyke/frontends/heartbeat_sender.h"
+#include "ibisdyke/frontends/discovery/heartbeat_sender.h"
 #include "ibisdyke/membership/wire/codec.h"
 
 #include <catch2/catch.hpp>
--- a/libraries/ibisdyke/frontends/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
@@ -1,5 +1,5 @@
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/replicated_control_group.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/testing/event_loop.h"
 #include "ibisdyke/transport/http2_server.h"
--- a/libraries/ibisdyke/frontends/tests/subscription_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
@@ -1,7 +1,7 @@
 #include "control_fixture.h"
 
 #include "ibisdyke/dissemination/wire/codec.h"
-#include "ibisdyke/frontends/state_subscriber.h"
+#include "ibisdyke/frontends/discovery/state_subscriber.h"
 
 #include <catch2/catch.hpp>
 
--- a/libraries/ibisdyke/frontends/wire/control_codec.cpp
+++ b/libraries/ibisdyke/frontends/control/wire/control_codec.cpp
@@ -1,10 +1,10 @@
-#include "ibisdyke/frontends/wire/control_codec.h"
+#include "ibisdyke/frontends/control/wire/control_codec.h"
 
 #include "ibisdyke/accounting/wire/codec.h"
 #include "ibisdyke/configuration/wire/codec.h"
 #include "ibisdyke/core/wire/convert.h"
 #include "ibisdyke/core/wire/message.h"
-#include "ibisdyke/frontends/wire/control_record.pb.h"
+#include "ibisdyke/frontends/control/wire/control_record.pb.h"
 #include "ibisdyke/membership/wire/codec.h"
 
 namespace ibisdyke::frontends::wire {
--- a/libraries/ibisdyke/frontends/wire/control_codec.h
+++ b/libraries/ibisdyke/frontends/control/wire/control_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ibisdyke/configuration/change_ledger.h"
-#include "ibisdyke/frontends/control_group.h"
+#include "ibisdyke/frontends/control/control_group.h"
 
 #include <string>
 #include <string_view>
--- a/libraries/ibisdyke/frontends/control_contacts.cpp
+++ b/libraries/ibisdyke/frontends/discovery/control_contacts.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/control_contacts.h"
+#include "ibisdyke/frontends/discovery/control_contacts.h"
 
 #include <algorithm>
 
--- a/libraries/ibisdyke/frontends/control_contacts.h
+++ b/libraries/ibisdyke/frontends/discovery/control_contacts.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ibisdyke/core/endpoint.h"
-#include "ibisdyke/frontends/heartbeat_sender.h"
-#include "ibisdyke/frontends/state_subscriber.h"
+#include "ibisdyke/frontends/discovery/heartbeat_sender.h"
+#include "ibisdyke/frontends/discovery/state_subscriber.h"
 #include "ibisdyke/membership/membership_state.h"
 
 #include <utility>
--- a/libraries/ibisdyke/frontends/control_settings.cpp
+++ b/libraries/ibisdyke/frontends/discovery/control_settings.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/control_settings.h"
+#include "ibisdyke/frontends/discovery/control_settings.h"
 
 namespace ibisdyke::frontends {
 
--- a/libraries/ibisdyke/frontends/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/heartbeat_sender.h"
+#include "ibisdyke/frontends/discovery/heartbeat_sender.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
--- a/libraries/ibisdyke/frontends/routing_input.cpp
+++ b/libraries/ibisdyke/frontends/discovery/routing_input.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/routing_input.h"
+#include "ibisdyke/frontends/discovery/routing_input.h"
 
 #include <algorithm>
 #include <map>
--- a/libraries/ibisdyke/frontends/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/state_subscriber.h"
+#include "ibisdyke/frontends/discovery/state_subscriber.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/dissemination/wire/codec.h"
--- a/libraries/ibisdyke/frontends/subscription_server.cpp
+++ b/libraries/ibisdyke/frontends/discovery/subscription_server.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/subscription_server.h"
+#include "ibisdyke/frontends/discovery/subscription_server.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/dissemination/wire/codec.h"
--- a/libraries/ibisdyke/frontends/tests/routing_input_test.cpp
+++ b/libraries/ibisdyke/frontends/discovery/tests/routing_input_test.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/routing_input.h"
+#include "ibisdyke/frontends/discovery/routing_input.h"
 #include "ibisdyke/membership/membership_change.h"
 #include "ibisdyke/routing/routing_table.h"
 
--- a/libraries/ibisdyke/frontends/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/flow_log.h"
+#include "ibisdyke/frontends/packets/flow_log.h"
 
 #include "ibisdyke/core/endpoint.h"
 #include "ibisdyke/observability/log.h"
--- a/libraries/ibisdyke/frontends/flow_report.h
+++ b/libraries/ibisdyke/frontends/packets/flow_report.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/frontends/packet_receiver.h"
+#include "ibisdyke/frontends/packets/packet_receiver.h"
 #include "ibisdyke/membership/messages.h"
 
 namespace ibisdyke::frontends {
--- a/libraries/ibisdyke/frontends/forwarding_snapshot.cpp
+++ b/libraries/ibisdyke/frontends/packets/forwarding_snapshot.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/forwarding_snapshot.h"
+#include "ibisdyke/frontends/packets/forwarding_snapshot.h"
 
 #include <utility>
 
--- a/libraries/ibisdyke/frontends/ip_packet_format.cpp
+++ b/libraries/ibisdyke/frontends/packets/ip_packet_format.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/ip_packet_format.h"
+#include "ibisdyke/frontends/packets/ip_packet_format.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/libraries/ibisdyke/frontends/ip_packet_format.h
+++ b/libraries/ibisdyke/frontends/packets/ip_packet_format.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/frontends/packet_format.h"
+#include "ibisdyke/frontends/packets/packet_format.h"
 
 namespace ibisdyke::frontends {
 
--- a/libraries/ibisdyke/frontends/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
@@ -1,7 +1,7 @@
-#include "ibisdyke/frontends/packet_forwarder.h"
+#include "ibisdyke/frontends/packets/packet_forwarder.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/flow_log.h"
+#include "ibisdyke/frontends/packets/flow_log.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
--- a/libraries/ibisdyke/frontends/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -1,7 +1,7 @@
-#include "ibisdyke/frontends/packet_receiver.h"
+#include "ibisdyke/frontends/packets/packet_receiver.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/flow_log.h"
+#include "ibisdyke/frontends/packets/flow_log.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/decision_names.h"
 #include "ibisdyke/routing/wire/codec.h"
--- a/libraries/ibisdyke/frontends/tests/flow_report_test.cpp
+++ b/libraries/ibisdyke/frontends/packets/tests/flow_report_test.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/flow_report.h"
+#include "ibisdyke/frontends/packets/flow_report.h"
 
 #include <catch2/catch.hpp>
 
--- a/libraries/ibisdyke/frontends/daemon.cpp
+++ b/libraries/ibisdyke/frontends/process/daemon.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/daemon.h"
+#include "ibisdyke/frontends/process/daemon.h"
 
 #include "ibisdyke/core/error.h"
 
--- a/libraries/ibisdyke/frontends/front_end.cpp
+++ b/libraries/ibisdyke/frontends/process/front_end.cpp
@@ -1,6 +1,6 @@
-#include "ibisdyke/frontends/front_end.h"
+#include "ibisdyke/frontends/process/front_end.h"
 
-#include "ibisdyke/frontends/ip_packet_format.h"
+#include "ibisdyke/frontends/packets/ip_packet_format.h"
 
 namespace ibisdyke::frontends {
 
--- a/libraries/ibisdyke/frontends/front_end.h
+++ b/libraries/ibisdyke/frontends/process/front_end.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "ibisdyke/core/endpoint.h"
-#include "ibisdyke/frontends/admin_server.h"
-#include "ibisdyke/frontends/packet_format.h"
-#include "ibisdyke/frontends/route_plan_service.h"
+#include "ibisdyke/frontends/administration/admin_server.h"
+#include "ibisdyke/frontends/control/route_plan_service.h"
+#include "ibisdyke/frontends/packets/packet_format.h"
 #include "ibisdyke/membership/upstream_presence.h"
 
 #include <memory>
--- a/libraries/ibisdyke/frontends/process_host.cpp
+++ b/libraries/ibisdyke/frontends/process/process_host.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/process_host.h"
+#include "ibisdyke/frontends/process/process_host.h"
 
 #include "ibisdyke/observability/log.h"
 
--- a/libraries/ibisdyke/frontends/process_host.h
+++ b/libraries/ibisdyke/frontends/process/process_host.h
@@ -2,9 +2,9 @@
 
 #include "ibisdyke/core/endpoint.h"
 #include "ibisdyke/core/ids.h"
-#include "ibisdyke/frontends/admin_server.h"
-#include "ibisdyke/frontends/daemon.h"
-#include "ibisdyke/frontends/settings_watcher.h"
+#include "ibisdyke/frontends/administration/admin_server.h"
+#include "ibisdyke/frontends/process/daemon.h"
+#include "ibisdyke/frontends/process/settings_watcher.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/transport/signal_watcher.h"
 #include "ibisdyke/transport/traffic_meter.h"
--- a/libraries/ibisdyke/frontends/settings_watcher.cpp
+++ b/libraries/ibisdyke/frontends/process/settings_watcher.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/settings_watcher.h"
+#include "ibisdyke/frontends/process/settings_watcher.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/time.h"
--- a/libraries/ibisdyke/frontends/admission_reporter.cpp
+++ b/libraries/ibisdyke/frontends/requests/admission_reporter.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/admission_reporter.h"
+#include "ibisdyke/frontends/requests/admission_reporter.h"
 
 #include <QJsonValue>
 
--- a/libraries/ibisdyke/frontends/admission_reporter.h
+++ b/libraries/ibisdyke/frontends/requests/admission_reporter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisdyke/frontends/request_server.h"
+#include "ibisdyke/frontends/requests/request_server.h"
 #include "ibisdyke/observability/state_reporter.h"
 
 namespace ibisdyke::frontends {
--- a/libraries/ibisdyke/frontends/attempt_stream.cpp
+++ b/libraries/ibisdyke/frontends/requests/attempt_stream.cpp
@@ -1,6 +1,6 @@
-#include "ibisdyke/frontends/attempt_stream.h"
+#include "ibisdyke/frontends/requests/attempt_stream.h"
 
-#include "ibisdyke/frontends/request_headers.h"
+#include "ibisdyke/frontends/requests/request_headers.h"
 
 namespace ibisdyke::frontends {
 
--- a/libraries/ibisdyke/frontends/body_relay.cpp
+++ b/libraries/ibisdyke/frontends/requests/body_relay.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/body_relay.h"
+#include "ibisdyke/frontends/requests/body_relay.h"
 
 #include <utility>
 
--- a/libraries/ibisdyke/frontends/connection_pool.cpp
+++ b/libraries/ibisdyke/frontends/requests/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/connection_pool.h"
+#include "ibisdyke/frontends/requests/connection_pool.h"
 
 namespace ibisdyke::frontends {
 
--- a/libraries/ibisdyke/frontends/gateway_request.cpp
+++ b/libraries/ibisdyke/frontends/requests/gateway_request.cpp
@@ -1,8 +1,8 @@
-#include "ibisdyke/frontends/gateway_request.h"
+#include "ibisdyke/frontends/requests/gateway_request.h"
 
 #include "ibisdyke/core/version.h"
-#include "ibisdyke/frontends/request_gateway.h"
-#include "ibisdyke/frontends/request_headers.h"
+#include "ibisdyke/frontends/requests/request_gateway.h"
+#include "ibisdyke/frontends/requests/request_headers.h"
 #include "ibisdyke/requests/deadline.h"
 #include "ibisdyke/transport/clock.h"
 
--- a/libraries/ibisdyke/frontends/gateway_request.h
+++ b/libraries/ibisdyke/frontends/requests/gateway_request.h
@@ -2,8 +2,8 @@
 
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/core/time.h"
-#include "ibisdyke/frontends/attempt_stream.h"
-#include "ibisdyke/frontends/body_relay.h"
+#include "ibisdyke/frontends/requests/attempt_stream.h"
+#include "ibisdyke/frontends/requests/body_relay.h"
 #include "ibisdyke/requests/attempt_decision.h"
 #include "ibisdyke/requests/messages.h"
 #include "ibisdyke/requests/repeatability.h"
--- a/libraries/ibisdyke/frontends/record_witnesses.cpp
+++ b/libraries/ibisdyke/frontends/requests/record_witnesses.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/record_witnesses.h"
+#include "ibisdyke/frontends/requests/record_witnesses.h"
 
 #include "ibisdyke/requests/deadline.h"
 
--- a/libraries/ibisdyke/frontends/request_gateway.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_gateway.cpp
@@ -1,9 +1,9 @@
-#include "ibisdyke/frontends/request_gateway.h"
+#include "ibisdyke/frontends/requests/request_gateway.h"
 
 #include "ibisdyke/configuration/token_digest.h"
 #include "ibisdyke/core/parse_number.h"
-#include "ibisdyke/frontends/gateway_request.h"
-#include "ibisdyke/frontends/request_headers.h"
+#include "ibisdyke/frontends/requests/gateway_request.h"
+#include "ibisdyke/frontends/requests/request_headers.h"
 #include "ibisdyke/requests/deadline.h"
 #include "ibisdyke/transport/clock.h"
 
--- a/libraries/ibisdyke/frontends/request_gateway.h
+++ b/libraries/ibisdyke/frontends/requests/request_gateway.h
@@ -2,7 +2,7 @@
 
 #include "ibisdyke/core/snapshot_publisher.h"
 #include "ibisdyke/dissemination/system_state.h"
-#include "ibisdyke/frontends/connection_pool.h"
+#include "ibisdyke/frontends/requests/connection_pool.h"
 #include "ibisdyke/observability/counter_sink.h"
 #include "ibisdyke/requests/attempt_selector.h"
 #include "ibisdyke/requests/retry_budget.h"
--- a/libraries/ibisdyke/frontends/request_headers.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_headers.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/request_headers.h"
+#include "ibisdyke/frontends/requests/request_headers.h"
 
 #include "ibisdyke/core/parse_number.h"
 
--- a/libraries/ibisdyke/frontends/request_server.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_server.cpp
@@ -1,9 +1,9 @@
-#include "ibisdyke/frontends/request_server.h"
+#include "ibisdyke/frontends/requests/request_server.h"
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/version.h"
-#include "ibisdyke/frontends/request_headers.h"
-#include "ibisdyke/frontends/server_request.h"
+#include "ibisdyke/frontends/requests/request_headers.h"
+#include "ibisdyke/frontends/requests/server_request.h"
 #include "ibisdyke/requests/deadline.h"
 #include "ibisdyke/requests/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
--- a/libraries/ibisdyke/frontends/request_thread.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_thread.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/request_thread.h"
+#include "ibisdyke/frontends/requests/request_thread.h"
 
 #include <exception>
 #include <utility>
--- a/libraries/ibisdyke/frontends/server_request_claim.cpp
+++ b/libraries/ibisdyke/frontends/requests/server_request_claim.cpp
@@ -1,7 +1,7 @@
-#include "ibisdyke/frontends/server_request.h"
+#include "ibisdyke/frontends/requests/server_request.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/request_server.h"
+#include "ibisdyke/frontends/requests/request_server.h"
 #include "ibisdyke/requests/deadline.h"
 #include "ibisdyke/requests/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
--- a/libraries/ibisdyke/frontends/tests/record_witnesses_test.cpp
+++ b/libraries/ibisdyke/frontends/requests/tests/record_witnesses_test.cpp
@@ -1,5 +1,5 @@
-#include "ibisdyke/frontends/record_witnesses.h"
-#include "ibisdyke/frontends/routing_input.h"
+#include "ibisdyke/frontends/discovery/routing_input.h"
+#include "ibisdyke/frontends/requests/record_witnesses.h"
 #include "ibisdyke/membership/membership_change.h"
 #include "ibisdyke/routing/routing_table.h"
 
--- a/libraries/ibisdyke/frontends/tests/request_path_test.cpp
+++ b/libraries/ibisdyke/frontends/requests/tests/request_path_test.cpp
@@ -1,6 +1,6 @@
 #include "ibisdyke/testing/request_cluster.h"
 
-#include "ibisdyke/frontends/request_thread.h"
+#include "ibisdyke/frontends/requests/request_thread.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
--- a/libraries/ibisdyke/frontends/tests/usage_meter_test.cpp
+++ b/libraries/ibisdyke/frontends/requests/tests/usage_meter_test.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/usage_meter.h"
+#include "ibisdyke/frontends/requests/usage_meter.h"
 
 #include <catch2/catch.hpp>
 
--- a/libraries/ibisdyke/frontends/usage_meter.cpp
+++ b/libraries/ibisdyke/frontends/requests/usage_meter.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/usage_meter.h"
+#include "ibisdyke/frontends/requests/usage_meter.h"
 
 #include "ibisdyke/accounting/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
--- a/libraries/ibisdyke/testing/request_cluster.h
+++ b/libraries/ibisdyke/testing/request_cluster.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ibisdyke/admission/share_admission.h"
-#include "ibisdyke/frontends/request_gateway.h"
-#include "ibisdyke/frontends/request_server.h"
+#include "ibisdyke/frontends/requests/request_gateway.h"
+#include "ibisdyke/frontends/requests/request_server.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/testing/event_loop.h"
 
--- a/services/balancer/balancer_process.cpp
+++ b/services/balancer/balancer_process.cpp
@@ -1,8 +1,8 @@
 #include "balancer_process.h"
 
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/control_settings.h"
-#include "ibisdyke/frontends/routing_input.h"
+#include "ibisdyke/frontends/discovery/control_settings.h"
+#include "ibisdyke/frontends/discovery/routing_input.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/requests/attempt_selector.h"
 #include "ibisdyke/routing/router_kind.h"
--- a/services/balancer/main.cpp
+++ b/services/balancer/main.cpp
@@ -1,7 +1,7 @@
 #include "balancer_process.h"
 
 #include "common/front_ends.h"
-#include "ibisdyke/frontends/daemon.h"
+#include "ibisdyke/frontends/process/daemon.h"
 
 int main(int argc, char** argv)
 {
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -4,7 +4,7 @@
 #include "ibisdyke/configuration/token_digest.h"
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/parse_number.h"
-#include "ibisdyke/frontends/control_settings.h"
+#include "ibisdyke/frontends/discovery/control_settings.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/replication/recovery.h"
 #include "ibisdyke/transport/clock.h"
--- a/services/control/control_process.h
+++ b/services/control/control_process.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "ibisdyke/frontends/admin_api.h"
-#include "ibisdyke/frontends/file_log_storage.h"
-#include "ibisdyke/frontends/front_end.h"
-#include "ibisdyke/frontends/group_upkeep.h"
-#include "ibisdyke/frontends/lease_manager.h"
-#include "ibisdyke/frontends/process_host.h"
-#include "ibisdyke/frontends/replicated_control_group.h"
-#include "ibisdyke/frontends/route_plan_service.h"
-#include "ibisdyke/frontends/subscription_server.h"
+#include "ibisdyke/frontends/administration/admin_api.h"
+#include "ibisdyke/frontends/control/file_log_storage.h"
+#include "ibisdyke/frontends/control/group_upkeep.h"
+#include "ibisdyke/frontends/control/lease_manager.h"
+#include "ibisdyke/frontends/control/replicated_control_group.h"
+#include "ibisdyke/frontends/control/route_plan_service.h"
+#include "ibisdyke/frontends/discovery/subscription_server.h"
+#include "ibisdyke/frontends/process/front_end.h"
+#include "ibisdyke/frontends/process/process_host.h"
 #include "ibisdyke/transport/http2_server.h"
 #include "ibisdyke/transport/rpc_router.h"
 
--- a/services/control/tests/admin_api_test.cpp
+++ b/services/control/tests/admin_api_test.cpp
@@ -1,4 +1,4 @@
-#include "ibisdyke/frontends/heartbeat_sender.h"
+#include "ibisdyke/frontends/discovery/heartbeat_sender.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/testing/control_cluster.h"
 
--- a/utilities/measure/main.cpp
+++ b/utilities/measure/main.cpp
@@ -1,5 +1,5 @@
 #include "ibisdyke/core/error.h"
-#include "ibisdyke/frontends/daemon.h"
+#include "ibisdyke/frontends/process/daemon.h"
 #include "ibisdyke/transport/signal_watcher.h"
 #include "measure/experiments/experiment_catalogue.h"
 #include "measure/experiments/replay.h"
