control: Give the log's writes and the waiting callers classes of their own

A malformed message from another member was counted without a log line.

Malformed messages get a warning. A leader that hands over offers leadership only once its whole log is committed, so commands in progress are answered instead of told unknown. The test of the group looked up free ports as the control cluster did before; both now use testing::loopback_range.

Ruled out: a class for the peers' connections. It would hold one map and pass every call on.

--- /dev/null
+++ b/libraries/ibisdyke/frontends/control/pending_answers.cpp
@@ -0,0 +1,38 @@
+#include "ibisdyke/frontends/control/pending_answers.h"
+
+#include <utility>
+
+namespace ibisdyke::frontends {
+
+void pending_answers::answer(const core::version& committed, const std::optional<configuration::outcome>& outcome)
+{
+    if (auto found = changes_.extract(committed.index)) {
+        const bool same = found.mapped().at == committed;
+        found.mapped().done(same ? replication::proposal_status::appended : replication::proposal_status::not_leader);
+    }
+    if (auto found = commands_.extract(committed.index)) {
+        const auto& [at, done] = found.mapped();
+        if (at == committed)
+            done({submit_status::committed, outcome, committed});
+        else
+            done({submit_status::not_leader, std::nullopt, {}});
+    }
+}
+
+void pending_answers::answer_read(std::uint64_t read)
+{
+    if (auto found = reads_.extract(read))
+        found.mapped()(true);
+}
+
+void pending_answers::fail_all()
+{
+    for (auto& [index, it] : std::exchange(commands_, {}))
+        it.done({submit_status::unknown, std::nullopt, {}});
+    for (auto& [index, it] : std::exchange(changes_, {}))
+        it.done(replication::proposal_status::not_leader);
+    for (auto& [read, done] : std::exchange(reads_, {}))
+        done(false);
+}
+
+} // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
@@ -50,13 +50,12 @@
     transport::traffic_meter* meter, failure_callback on_failure, QObject* parent)
     : QObject(parent)
     , options_(std::move(options))
-    , storage_(storage)
     , counters_(counters)
     , meter_(meter)
     , on_failure_(std::move(on_failure))
 {
-    options_.raft.disk = storage_.disk();
-    const auto stored = storage_.load();
+    options_.raft.disk = storage.disk();
+    const auto stored = storage.load();
     if (stored.base) {
         machine_.restore(stored.base->state, stored.base->last);
         applied_ = stored.base->last;
@@ -69,7 +68,7 @@
         applied_ = known.at;
         applied_bytes_ += known.command.size();
     }
-    recorded_commit_ = node_->committed();
+    writer_ = new log_writer(storage, node_->committed(), *this, counters_, this);
     router.add_call(
         message_path, [self = QPointer<replicated_control_group>(this)](const auto& body, const auto& answer) {
             if (self)
@@ -143,7 +142,7 @@
         done({submit_status::not_leader, std::nullopt, {}});
         return;
     }
-    commands_[made.at.index] = {made.at, std::move(done)};
+    waiting_.add_command(made.at, std::move(done));
     enqueue({std::move(made.result), std::nullopt, nullptr});
 }
 
@@ -160,7 +159,7 @@
         done(false);
         return;
     }
-    reads_[*read] = std::move(done);
+    waiting_.add_read(*read, std::move(done));
     enqueue({std::move(result), std::nullopt, nullptr});
 }
 
@@ -182,7 +181,7 @@
 {
     if (made.status != replication::proposal_status::appended)
         return done(made.status);
-    changes_[made.at.index] = {made.at, std::move(done)};
+    waiting_.add_change(made.at, std::move(done));
     enqueue({std::move(made.result), std::nullopt, nullptr});
 }
 
@@ -226,8 +225,8 @@
     try {
         const auto message = replication::wire::decode_message(body);
         enqueue({node_->step(message, transport::read_clock()), message.from, answer});
-    } catch (const core::malformed_message&) {
-        counters_.add("replication_messages_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        note_malformed(e);
         answer->refuse();
     }
 }
@@ -238,11 +237,18 @@
         return;
     try {
         enqueue({node_->step(replication::wire::decode_message(body), transport::read_clock()), std::nullopt, nullptr});
-    } catch (const core::malformed_message&) {
-        counters_.add("replication_messages_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        note_malformed(e);
     }
 }
 
+void replicated_control_group::note_malformed(const core::malformed_message& error)
+{
+    counters_.add("replication_messages_malformed", 1);
+    observability::write_log(
+        observability::log_level::warning, "replication_message_malformed", {{"error", error.what()}});
+}
+
 void replicated_control_group::on_timer()
 {
     if (is_usable())
@@ -264,92 +270,31 @@
     if (!is_usable())
         return;
     for (auto& it : std::exchange(work_, {})) {
-        add_writes(it.result);
+        writer_->add(it.result.writes);
         written_.push_back(std::move(it));
     }
-    if (!write_out())
+    if (!writer_->write_out(node_->committed()))
         return;
     for (const auto& it : std::exchange(written_, {}))
         carry_out(it);
     compact();
     note_role();
     schedule();
-    if (node_->committed() > recorded_commit_ && !commit_timer_.isActive())
+    if (node_->committed() > writer_->recorded_commit() && !commit_timer_.isActive())
         commit_timer_.start(commit_record_delay);
 }
 
-/// Joins the writes with those that wait, so that one sync is enough for them. A snapshot is written by itself.
-void replicated_control_group::add_writes(const replication::output& from)
-{
-    const auto& writes = from.writes;
-    if (writes.empty())
-        return;
-    if (unwritten_.empty() || unwritten_.back().base || writes.base)
-        unwritten_.emplace_back();
-    auto& joined = unwritten_.back();
-    if (writes.ballot)
-        joined.ballot = writes.ballot;
-    if (writes.base)
-        joined.base = writes.base;
-    joined.entries.insert(joined.entries.end(), writes.entries.begin(), writes.entries.end());
-    joined.committed = std::max(joined.committed, writes.committed);
-}
-
-/// Writes what waits. Returns false when the storage has not taken it.
-bool replicated_control_group::write_out()
-{
-    try {
-        for (; !unwritten_.empty(); unwritten_.pop_front())
-            write(unwritten_.front());
-        return true;
-    } catch (const core::storage_full& e) {
-        wait_for_room(e.what());
-    } catch (const std::exception& e) {
-        fail_storage(e.what());
-    }
-    return false;
-}
-
-void replicated_control_group::wait_for_room(const std::string& why)
+void replicated_control_group::on_failure(const std::string& why)
 {
-    if (std::exchange(storage_state_, storage_state::full) != storage_state::full) {
-        counters_.add("storage_full", 1);
-        observability::write_log(observability::log_level::error, "storage_full", {{"error", why}});
-        fail_waiting();
-    }
-    QTimer::singleShot(replication::room_check_period, this, [this] {
-        if (!write_out())
-            return;
-        storage_state_ = storage_state::usable;
-        observability::write_log(observability::log_level::info, "storage_has_room", {});
-        flush();
-    });
-}
-
-void replicated_control_group::fail_storage(const std::string& why)
-{
-    storage_state_ = storage_state::failed;
     timer_.stop();
-    observability::write_log(observability::log_level::error, "storage_failed", {{"error", why}});
-    fail_waiting();
+    waiting_.fail_all();
     if (on_failure_)
         on_failure_(why);
 }
 
-void replicated_control_group::write(const replication::write_batch& batch)
-{
-    auto marked = batch;
-    marked.committed = node_->committed();
-    const auto begin = transport::read_clock();
-    storage_.persist(marked);
-    recorded_commit_ = marked.committed;
-    counters_.add("log_syncs", 1);
-    counters_.sample("log_sync_ms", std::chrono::duration<double, std::milli>(transport::read_clock() - begin).count());
-}
-
 void replicated_control_group::record_commit()
 {
-    if (!is_usable() || node_->committed() <= recorded_commit_)
+    if (!is_usable() || node_->committed() <= writer_->recorded_commit())
         return;
     replication::output result;
     result.writes.committed = node_->committed();
@@ -377,10 +322,8 @@
     }
     for (const auto& committed : it.result.committed)
         apply(committed);
-    for (const auto read : it.result.confirmed_reads) {
-        if (auto found = reads_.extract(read))
-            found.mapped()(true);
-    }
+    for (const auto read : it.result.confirmed_reads)
+        waiting_.answer_read(read);
 }
 
 void replicated_control_group::send(const replication::message& it)
@@ -409,32 +352,7 @@
     applied_bytes_ += committed.command.size();
     if (machine_.state().system != before)
         publish();
-    answer_changes(committed.at);
-    if (auto found = commands_.extract(committed.at.index)) {
-        const auto& waiting = found.mapped();
-        if (waiting.at == committed.at)
-            waiting.done({submit_status::committed, machine_.last_outcome(), committed.at});
-        else
-            waiting.done({submit_status::not_leader, std::nullopt, {}});
-    }
-}
-
-void replicated_control_group::answer_changes(const core::version& at)
-{
-    if (auto found = changes_.extract(at.index)) {
-        const bool same = found.mapped().at == at;
-        found.mapped().done(same ? replication::proposal_status::appended : replication::proposal_status::not_leader);
-    }
-}
-
-void replicated_control_group::fail_waiting()
-{
-    for (auto& [index, it] : std::exchange(commands_, {}))
-        it.done({submit_status::unknown, std::nullopt, {}});
-    for (auto& [index, it] : std::exchange(changes_, {}))
-        it.done(replication::proposal_status::not_leader);
-    for (auto& [read, done] : std::exchange(reads_, {}))
-        done(false);
+    waiting_.answer(committed.at, machine_.last_outcome());
 }
 
 void replicated_control_group::compact()
@@ -474,7 +392,7 @@
                 {"committed", node_->committed()}});
     }
     if (led && noted_role_ != replication::raft_role::leader)
-        fail_waiting();
+        waiting_.fail_all();
 }
 
 void replicated_control_group::schedule()
--- a/libraries/ibisdyke/frontends/control/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "ibisdyke/core/error.h"
 #include "ibisdyke/frontends/control/control_group.h"
 #include "ibisdyke/frontends/control/control_state_machine.h"
+#include "ibisdyke/frontends/control/log_writer.h"
+#include "ibisdyke/frontends/control/pending_answers.h"
 #include "ibisdyke/observability/counter_sink.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/replication/log_storage.h"
@@ -15,7 +18,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,11 +42,14 @@
 
 /// The control group over the replicated log: carries the messages and the writes of a raft_node. Lives on the control
 /// thread. Writes that come in during one turn of the event loop are synced together.
-class replicated_control_group : public QObject, public control_group, public observability::state_reporter {
+class replicated_control_group : public QObject,
+                                 public control_group,
+                                 public observability::state_reporter,
+                                 private log_writer_observer {
 public:
     using state_callback = std::function<void(const dissemination::system_state_snapshot&)>;
     using failure_callback = std::function<void(const std::string& reason)>;
-    using change_callback = std::function<void(replication::proposal_status)>;
+    using change_callback = pending_answers::change_callback;
 
     /// Loads the storage and registers its call at `router` at once. The references and `meter` (which may be null)
     /// must outlive the group. `on_failure` runs when the storage fails; the group answers nothing afterwards, since
@@ -98,42 +103,21 @@
         responder answer;
     };
 
-    struct waiting_command {
-        core::version at;
-        submit_callback done;
-    };
-
-    struct waiting_change {
-        core::version at;
-        change_callback done;
-    };
-
-    enum class storage_state : std::uint8_t {
-        usable,
-        /// The disk has no room: unwritten_ is written later.
-        full,
-        /// What the storage holds is unknown.
-        failed,
-    };
-
     void on_call(const std::string& body, const responder& answer);
     void on_message(const std::string& body);
+    void note_malformed(const core::malformed_message& error);
     void on_timer();
     void enqueue(work it);
     void flush();
-    void add_writes(const replication::output& from);
-    bool write_out();
-    void write(const replication::write_batch& batch);
-    void wait_for_room(const std::string& why);
-    void fail_storage(const std::string& why);
-    bool is_usable() const { return storage_state_ == storage_state::usable; }
+    void on_full() override { waiting_.fail_all(); }
+    void on_room() override { flush(); }
+    void on_failure(const std::string& why) override;
+    bool is_usable() const { return writer_->is_usable(); }
     bool has_successor() const;
     void record_commit();
     void carry_out(const work& it);
     void send(const replication::message& it);
     void apply(const replication::entry& committed);
-    void answer_changes(const core::version& at);
-    void fail_waiting();
     void propose_change(replication::proposal made, change_callback done);
     void note_role();
     void schedule();
@@ -143,29 +127,22 @@
     const replication::member* find_leader() const;
 
     replicated_control_group_options options_;
-    replication::log_storage& storage_;
     observability::counter_sink& counters_;
     transport::traffic_meter* meter_;
     failure_callback on_failure_;
     control_state_machine machine_;
     std::unique_ptr<replication::raft_node> node_;
+    log_writer* writer_;
     std::map<core::endpoint, transport::http2_client*> clients_;
     std::vector<state_callback> callbacks_;
     std::vector<work> work_;
-    /// Writes of the work in written_ that the storage has not taken yet, in order.
-    std::deque<replication::write_batch> unwritten_;
     /// Work to be carried out once its writes are durable.
     std::vector<work> written_;
     bool flush_scheduled_ = false;
-    storage_state storage_state_ = storage_state::usable;
     core::version applied_;
-    /// The commit that the storage knows of.
-    std::uint64_t recorded_commit_ = 0;
     /// The size of the records that were applied since the last snapshot.
     std::size_t applied_bytes_ = 0;
-    std::map<std::uint64_t, waiting_command> commands_;
-    std::map<std::uint64_t, waiting_change> changes_;
-    std::map<std::uint64_t, std::function<void(bool)>> reads_;
+    pending_answers waiting_;
     replication::raft_role noted_role_ = replication::raft_role::follower;
     std::optional<core::control_id> noted_leader_;
     std::uint64_t noted_term_ = 0;
--- a/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
@@ -2,11 +2,11 @@
 #include "ibisdyke/frontends/control/replicated_control_group.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/testing/event_loop.h"
+#include "ibisdyke/testing/loopback_range.h"
 #include "ibisdyke/transport/http2_server.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QTcpServer>
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
@@ -79,11 +79,10 @@
         : snapshot_bytes_(snapshot_bytes)
     {
         for (int i = 0; i < 3; ++i) {
-            QTcpServer port;
-            port.listen(QHostAddress::LocalHost);
+            constexpr std::uint16_t peer_port = 7003;
             member it;
             it.id = core::control_id(static_cast<std::uint64_t>(i) + 1);
-            it.peer_endpoint = {core::endpoint::create("127.0.0.1:1").address, port.serverPort()};
+            it.peer_endpoint = addresses_.endpoint(static_cast<std::uint32_t>(i) + 1, peer_port);
             initial_.push_back(it);
         }
         for (auto& it : members_)
@@ -136,6 +135,7 @@
 
     int argc_ = 0;
     QCoreApplication application_{argc_, nullptr};
+    testing::loopback_range addresses_;
     std::size_t snapshot_bytes_;
     observability::counter_registry counters_;
     std::vector<member> initial_;
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -178,7 +178,8 @@
     void set_election_timer(core::time_point now, core::milliseconds shortest, core::milliseconds longest);
     bool is_voter(const group_configuration& group) const;
     bool may_campaign(core::time_point now) const;
-    /// Asks the member to take over, when this member hands over and the other holds the whole log.
+    /// Asks the member to take over, when this member hands over and the other holds the whole log, all of it
+    /// committed.
     void offer_leadership(core::control_id to, core::time_point now, output& result);
     bool counts(const member& it) const;
     /// Returns the highest value that a majority of the voters has reached. A voter that does not count has reached 0.
--- a/libraries/ibisdyke/replication/raft_node_election.cpp
+++ b/libraries/ibisdyke/replication/raft_node_election.cpp
@@ -194,7 +194,9 @@
 
 void raft_node::offer_leadership(core::control_id to, core::time_point now, output& result)
 {
-    if (!hands_over(now) || offered_round_ == round_ || match_of(to) < log_.last().index)
+    // Commands in progress are answered before this member loses the leadership.
+    const auto last = log_.last().index;
+    if (!hands_over(now) || offered_round_ == round_ || match_of(to) < last || committed_ < last)
         return;
     const auto& members = configuration().members;
     const auto heir = std::find_if(members.begin(), members.end(), [&](const auto& it) { return it.id == to; });
--- a/libraries/ibisdyke/testing/control_cluster.h
+++ b/libraries/ibisdyke/testing/control_cluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/testing/loopback_range.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -14,7 +15,6 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <QProcess>
-#include <QTcpServer>
 #include <QTemporaryDir>
 #include <QTimer>
 
@@ -35,17 +35,11 @@
         QJsonObject json;
     };
 
-    /// Finds the programs in bin/ beside the folder of the running program. Throws core::system_failure when all
-    /// ranges of addresses are taken by other clusters.
+    /// Finds the programs in bin/ beside the folder of the running program.
     explicit control_cluster(int members)
         : members_(members)
         , processes_(static_cast<std::size_t>(members) + 1)
     {
-        constexpr quint32 last_range = 250;
-        while (!claim_.listen(QHostAddress(address(0)), claim_port)) {
-            if (++range_ > last_range)
-                throw core::system_failure("all loopback address ranges are in use by other clusters");
-        }
     }
 
     static QString program(const QString& name)
@@ -234,30 +228,18 @@
     }
 
 private:
-    // Fixed ports below the range of ephemeral ports: a free port that is looked up in advance may be taken by an
-    // outgoing connection of another process before the server listens on it.
-    static constexpr quint16 claim_port = 6999;
     static constexpr quint16 peer_port = 7003;
     static constexpr quint16 admin_port = 7004;
 
     static std::size_t index(int id) { return static_cast<std::size_t>(id - 1); }
 
-    /// Address 0 claims the range; each process listens on the address of its number.
-    quint32 address(int id) const
-    {
-        constexpr quint32 cluster_network = (127U << 24U) | (222U << 16U);
-        return cluster_network | (range_ << 8U) | static_cast<quint32>(id + 1);
-    }
-
     QString endpoint(int id, quint16 port) const
     {
-        return QString("%1:%2").arg(QHostAddress(address(id)).toString()).arg(port);
+        return QString::fromStdString(to_string(addresses_.endpoint(static_cast<std::uint32_t>(id), port)));
     }
 
     int members_;
-    /// The third octet of the addresses, which no other cluster on this machine uses.
-    quint32 range_ = 0;
-    QTcpServer claim_;
+    loopback_range addresses_;
     QTemporaryDir root_;
     QNetworkAccessManager network_;
     std::vector<std::unique_ptr<QProcess>> processes_;
