replication: Model groups that form out of seeds and keep themselves

Cause: the random schedules covered groups with stated members.

Change: the simulated group takes group_limits and then runs group_keeper's decisions with group_upkeep's periods; faults gain freezes of up to 2.5 s and replacements. Two tests, for one and two tolerated losses. After the faults every group must be whole without an operator. The existing tests draw the same faults as before.

--- a/libraries/ibisdyke/replication/tests/raft_random_test.cpp
+++ b/libraries/ibisdyke/replication/tests/raft_random_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 using namespace ibisdyke;
 using namespace ibisdyke::replication;
@@ -26,13 +27,22 @@
     std::uint64_t wipes = 0;
     std::uint64_t snapshots = 0;
     std::uint64_t reads = 0;
+    std::uint64_t replacements = 0;
+    std::uint64_t removals = 0;
 };
 
-void run_schedule(std::size_t members, std::size_t spares, std::uint64_t seed, const fault_rates& rates, totals& sum)
+/// What a group begins with.
+struct group_shape {
+    std::size_t members = 3;
+    std::size_t spares = 0;
+    std::optional<group_limits> upkeep;
+};
+
+void run_schedule(const group_shape& shape, std::uint64_t seed, const fault_rates& rates, totals& sum)
 {
     constexpr int faulty_steps = 1500;
     constexpr int quiet_steps = 2000;
-    simulated_group group(members, spares, seed);
+    simulated_group group(shape.members, shape.spares, seed, shape.upkeep);
     for (int i = 0; i < faulty_steps; ++i)
         group.step(rates);
     group.heal();
@@ -50,9 +60,11 @@
     sum.wipes += group.wipe_count();
     sum.snapshots += group.snapshot_count();
     sum.reads += group.read_count();
+    sum.replacements += group.replacement_count();
+    sum.removals += group.removal_count();
 }
 
-void run_schedules(std::size_t members, std::size_t spares, const fault_rates& rates)
+void run_schedules(const group_shape& shape, const fault_rates& rates)
 {
     totals sum;
     // A number of schedules, not a time: the verdict must not depend on the speed of the machine.
@@ -60,11 +72,11 @@
     const auto end = first + number_setting("IBISDYKE_RAFT_SCHEDULES", 1500);
     for (auto seed = first; seed < end; ++seed) {
         INFO("seed " << seed);
-        REQUIRE_NOTHROW(run_schedule(members, spares, seed, rates, sum));
+        REQUIRE_NOTHROW(run_schedule(shape, seed, rates, sum));
     }
-    std::cout << members << " members: " << sum.schedules << " schedules, " << sum.committed << " entries, "
+    std::cout << shape.members << " members: " << sum.schedules << " schedules, " << sum.committed << " entries, "
               << sum.elections << " leaders, " << sum.wipes << " wipes, " << sum.snapshots << " snapshots, "
-              << sum.reads << " reads\n";
+              << sum.reads << " reads, " << sum.replacements << " replacements, " << sum.removals << " removals\n";
     CHECK(sum.committed > sum.schedules);
 }
 
@@ -74,19 +86,19 @@
 // safety or confirmed reads, or after which the group never accepts a command again.
 TEST_CASE("three members keep the properties of Raft under random faults")
 {
-    run_schedules(3, 0, {});
+    run_schedules({3, 0, {}}, {});
 }
 
 TEST_CASE("five members keep the properties of Raft under random faults")
 {
-    run_schedules(5, 0, {});
+    run_schedules({5, 0, {}}, {});
 }
 
 TEST_CASE("a group whose members change keeps the properties of Raft under random faults")
 {
     fault_rates rates;
     rates.change_group = 0.05;
-    run_schedules(3, 2, rates);
+    run_schedules({3, 2, {}}, rates);
 }
 
 TEST_CASE("a group that loses many messages and disks keeps the properties of Raft")
@@ -97,5 +109,27 @@
     rates.crash = 0.03;
     rates.wipe = 0.02;
     rates.compact = 0.1;
-    run_schedules(3, 1, rates);
+    run_schedules({3, 1, {}}, rates);
+}
+
+// Guards against two groups out of the same seeds, a commit that is lost while members freeze, fail for good and are
+// replaced by empty ones, and a group that needs an operator to become whole again.
+TEST_CASE("a group out of seeds keeps itself under freezes and replacements")
+{
+    fault_rates rates;
+    rates.change_group = 0;
+    rates.freeze = 0.01;
+    rates.replace = 0.003;
+    run_schedules({3, 2, limits_for(1)}, rates);
+}
+
+TEST_CASE("a group out of seeds that tolerates two losses keeps itself when all members crash often")
+{
+    fault_rates rates;
+    rates.change_group = 0;
+    rates.crash = 0.03;
+    rates.wipe = 0.01;
+    rates.freeze = 0.02;
+    rates.replace = 0.003;
+    run_schedules({3, 4, limits_for(2)}, rates);
 }
--- a/libraries/ibisdyke/replication/tests/simulated_group.cpp
+++ b/libraries/ibisdyke/replication/tests/simulated_group.cpp
@@ -11,6 +11,10 @@
 
 constexpr core::milliseconds step_length{10};
 
+// As frontends::group_upkeep has them.
+constexpr core::milliseconds upkeep_period{200};
+constexpr core::milliseconds leader_silence{1000};
+
 member member_with(core::control_id id)
 {
     member result;
@@ -32,9 +36,11 @@
 
 } // namespace
 
-simulated_group::simulated_group(std::size_t initial_members, std::size_t spare_members, std::uint64_t seed)
+simulated_group::simulated_group(
+    std::size_t initial_members, std::size_t spare_members, std::uint64_t seed, std::optional<group_limits> upkeep)
     : random_(seed)
     , now_(1s)
+    , upkeep_(upkeep)
 {
     for (std::size_t i = 1; i <= initial_members; ++i)
         initial_.push_back(member_with(core::control_id(i)));
@@ -49,7 +55,7 @@
 void simulated_group::start(core::control_id id)
 {
     auto& it = members_.at(id);
-    if (it.node)
+    if (it.node || it.is_gone)
         return;
     raft_options options;
     options.self = id;
@@ -90,14 +96,15 @@
         if (intact_member)
             ++intact;
     }
-    return voters == 0 || intact * 2 > voters;
+    if (voters == 0)
+        return true;
+    // A group with upkeep is built for a number of losses at the same time: those that it has not repaired yet.
+    const bool tolerated = !upkeep_ || limits_for(voters - intact).min_voters <= upkeep_->min_voters;
+    return intact * 2 > voters && tolerated;
 }
 
-bool simulated_group::wipe(core::control_id id)
+bool simulated_group::may_lose(core::control_id id) const
 {
-    // Before the group has formed, only one disk may be lost: the others' votes are all there is.
-    if (committed_.empty() && wipes_ > 0)
-        return false;
     // Losing the disk of a voter is survivable only while the other intact voters are a majority, in the view of every
     // configuration that a member may act on.
     for (const auto& [other, it] : members_) {
@@ -114,13 +121,24 @@
                 return false;
         }
     }
+    return true;
+}
+
+bool simulated_group::wipe(core::control_id id)
+{
+    // Before the group has formed, only one disk may be lost: the others' votes are all there is. Out of seeds, a
+    // process whose disk was lost may not form a group, so none may be.
+    if (committed_.empty() && (wipes_ > 0 || upkeep_))
+        return false;
     auto& it = members_.at(id);
-    if (it.node)
+    if (it.node || !may_lose(id))
         return false;
     it.stored = {};
-    // The settings of a replaced process name the present group: see docs/operations/control.md.
+    if (upkeep_)
+        it.known.clear();
+    // Without upkeep the settings of a replaced process name the present group: see docs/operations/control.md.
     for (const auto& [index, committed] : committed_) {
-        if (committed.first.kind == entry_kind::configuration)
+        if (!upkeep_ && committed.first.kind == entry_kind::configuration)
             it.known = committed.first.configuration.members;
     }
     it.disk = core::incarnation(next_disk_++);
@@ -128,12 +146,29 @@
     return true;
 }
 
+void simulated_group::replace(core::control_id id)
+{
+    if (committed_.empty() || members_.at(id).is_gone || !may_lose(id))
+        return;
+    crash(id);
+    auto& lost = members_.at(id);
+    lost.stored = {};
+    lost.disk = core::incarnation(next_disk_++);
+    lost.is_gone = true;
+    const core::control_id next(members_.rbegin()->first.value() + 1);
+    members_[next].disk = core::incarnation(next_disk_++);
+    ++replacements_;
+    start(next);
+}
+
 void simulated_group::heal()
 {
     cut_.clear();
-    rates_ = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
-    for (auto& [id, it] : members_)
+    rates_ = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
+    for (auto& [id, it] : members_) {
+        it.frozen_until = now_;
         start(id);
+    }
 }
 
 void simulated_group::quiet_step()
@@ -141,6 +176,7 @@
     now_ += step_length;
     deliver_due();
     tick_due();
+    keep_groups();
 }
 
 void simulated_group::step(const fault_rates& rates)
@@ -149,6 +185,7 @@
     now_ += step_length;
     deliver_due();
     tick_due();
+    keep_groups();
     random_faults();
     random_work();
 }
@@ -176,6 +213,10 @@
         wipe(id);
     if (!members_.at(id).node && chance(rates_.restart))
         start(id);
+    if (chance(rates_.freeze))
+        members_.at(id).frozen_until = now_ + core::milliseconds(std::uniform_int_distribution<int>(50, 2500)(random_));
+    if (chance(rates_.replace))
+        replace(id);
     if (chance(rates_.partition))
         cut_.insert(random_member());
     if (chance(rates_.heal))
@@ -186,7 +227,7 @@
 {
     const auto id = random_member();
     auto& it = members_.at(id);
-    if (!it.node)
+    if (!it.node || is_frozen(id))
         return;
     if (chance(rates_.propose))
         propose(id, "c" + std::to_string(++next_command_));
@@ -235,6 +276,11 @@
         auto& receiver = members_.at(it.to);
         if (!receiver.node || cut_.contains(it.from) || cut_.contains(it.to))
             continue;
+        if (is_frozen(it.to)) {
+            if (chance(0.5))
+                network_.emplace(receiver.frozen_until, it);
+            continue;
+        }
         carry_out(it.to, receiver.node->step(it, now_));
     }
 }
@@ -242,11 +288,57 @@
 void simulated_group::tick_due()
 {
     for (auto& [id, it] : members_) {
-        if (it.node && it.node->next_deadline() <= now_)
+        if (it.node && !is_frozen(id) && it.node->next_deadline() <= now_)
             carry_out(id, it.node->tick(now_));
     }
 }
 
+void simulated_group::keep_groups()
+{
+    if (!upkeep_)
+        return;
+    for (auto& [id, it] : members_) {
+        if (!it.node || is_frozen(id) || now_ < it.upkeep_due)
+            continue;
+        it.upkeep_due = now_ + upkeep_period;
+        if (it.node->leads(now_) && it.node->is_current())
+            remove_silent(id);
+        else if (!it.node->has_heard_leader(leader_silence, now_))
+            ask_to_join(id);
+    }
+}
+
+void simulated_group::remove_silent(core::control_id leader)
+{
+    auto& node = *members_.at(leader).node;
+    std::vector<member_view> views;
+    for (const auto& it : node.configuration().members)
+        views.push_back({it, node.silence_of(it.id, now_)});
+    const auto removed = member_to_remove(views, *upkeep_);
+    if (!removed)
+        return;
+    auto made = node.remove_member(*removed, now_);
+    if (made.status == proposal_status::appended)
+        ++removals_;
+    carry_out(leader, made.result);
+}
+
+void simulated_group::ask_to_join(core::control_id joining)
+{
+    const auto asked = random_member();
+    const auto& it = members_.at(asked);
+    if (asked == joining || !it.node || is_frozen(asked) || cut_.contains(asked) || cut_.contains(joining)
+        || chance(rates_.loss) || !it.node->leads(now_) || !it.node->is_current())
+        return;
+    std::vector<member_view> views;
+    for (const auto& known : it.node->configuration().members)
+        views.push_back({known, it.node->silence_of(known.id, now_)});
+    auto self = member_with(joining);
+    self.disk = members_.at(joining).disk;
+    if (may_join(views, self, *upkeep_))
+        carry_out(asked, it.node->add_member(self, now_).result);
+}
+
 void simulated_group::send(const message& content)
 {
     if (chance(rates_.loss))
--- a/libraries/ibisdyke/replication/tests/simulated_group.h
+++ b/libraries/ibisdyke/replication/tests/simulated_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisdyke/replication/group_keeper.h"
 #include "ibisdyke/replication/raft_node.h"
 
 #include <map>
@@ -26,13 +27,20 @@
     double compact = 0.02;
     double hand_over = 0.005;
     double change_group = 0.01;
+    /// A member stands still for up to 2.5 s; what is sent to it arrives afterwards or is lost.
+    double freeze = 0;
+    /// A member is gone for good, and an empty one starts at another address.
+    double replace = 0;
 };
 
 /// A control group on a simulated network, clock and disks, driven by one seed. Throws std::logic_error when a safety
 /// property of Raft is broken.
 class simulated_group {
 public:
-    simulated_group(std::size_t initial_members, std::size_t spare_members, std::uint64_t seed);
+    /// With `upkeep` the group keeps itself as one out of seeds does: members without a leader ask to join, and the
+    /// leader removes silent ones. The spare members then start with the others and know the group only by its seeds.
+    simulated_group(std::size_t initial_members, std::size_t spare_members, std::uint64_t seed,
+        std::optional<group_limits> upkeep = std::nullopt);
 
     /// Advances the clock by 10 ms with random faults.
     void step(const fault_rates& rates);
@@ -52,6 +60,8 @@
     std::uint64_t wipe_count() const { return wipes_; }
     std::uint64_t snapshot_count() const { return snapshots_; }
     std::uint64_t read_count() const { return reads_confirmed_; }
+    std::uint64_t replacement_count() const { return replacements_; }
+    std::uint64_t removal_count() const { return removals_; }
 
     /// Whether all members of the leader's configuration have applied the same state and are voters.
     bool converged() const;
@@ -80,6 +90,10 @@
         /// The state machine: a running hash over the commands, and the index it holds.
         std::uint64_t applied = 0;
         std::uint64_t state = 0;
+        /// Stands still until then.
+        core::time_point frozen_until{};
+        core::time_point upkeep_due{};
+        bool is_gone = false;
     };
 
     struct packet {
@@ -89,6 +103,13 @@
 
     /// Whether the voters of the group other than `lost` that still have their disks are a majority.
     bool survives(const group_configuration& group, core::control_id lost) const;
+    /// Whether the group outlives the loss of this disk in the view of every configuration that a member may act on.
+    bool may_lose(core::control_id id) const;
+    bool is_frozen(core::control_id id) const { return members_.at(id).frozen_until > now_; }
+    void replace(core::control_id id);
+    void keep_groups();
+    void remove_silent(core::control_id leader);
+    void ask_to_join(core::control_id joining);
     void carry_out(core::control_id id, const output& result);
     void persist(simulated_member& it, const write_batch& batch);
     void apply(simulated_member& it, const entry& committed);
@@ -107,6 +128,7 @@
     core::time_point now_;
     std::map<core::control_id, simulated_member> members_;
     std::vector<member> initial_;
+    std::optional<group_limits> upkeep_;
     std::multimap<core::time_point, message> network_;
     std::set<core::control_id> cut_;
     std::uint64_t next_command_ = 0;
@@ -114,6 +136,8 @@
     std::uint64_t wipes_ = 0;
     std::uint64_t snapshots_ = 0;
     std::uint64_t reads_confirmed_ = 0;
+    std::uint64_t replacements_ = 0;
+    std::uint64_t removals_ = 0;
 
     std::map<std::uint64_t, std::pair<core::control_id, core::incarnation>> leaders_;
     /// By index: the entry, and the lowest term of a member that saw it committed.
