observability: Refuse a line before its fields are made

Cause: the cost of the log was not measured. A line about a new flow has 14 fields, and they were formatted before the limit of 100 lines a second for an event left the line out.

Change: claim_line() counts a line and says whether it is to be written; the lines about packets ask it first.

Ruled out: a higher limit for each event only in quiet times.

--- a/libraries/ibisdyke/frontends/packets/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -55,13 +55,13 @@
 void log_decision(const logged_decision& it)
 {
     const auto* const event = event_of(it.decision, it.packet.kind);
-    if (event == nullptr)
+    if (event == nullptr || !observability::claim_line(event))
         return;
     const bool refused = it.decision.action == packet_action::reject || it.decision.action == packet_action::drop;
     const auto& next = it.decision.next;
     const auto to = next ? to_string(next->chain[next->position].packet_endpoint) : std::string("upstream");
     const auto& admission = it.facts.admission;
-    observability::write_log(refused ? log_level::warning : log_level::info, event,
+    observability::write_claimed_line(refused ? log_level::warning : log_level::info, event,
         {{"flow", flow_id(it.packet.flow)}, {"seq", it.packet.sequence}, {"copies", it.packet.copies},
             {"reason", to_string(it.decision.reason)}, {"to", refused ? std::string("caller") : to},
             {"phase", to_string(it.header.phase)}, {"hops", it.header.hops}, {"balancer", to_string(it.header.sender)},
@@ -72,7 +72,10 @@
 
 void log_disowned(const routing::packet_facts& packet, const routing::agent_facts& facts)
 {
-    observability::write_log(log_level::warning, "flow_disowned",
+    constexpr std::string_view event = "flow_disowned";
+    if (!observability::claim_line(event))
+        return;
+    observability::write_claimed_line(log_level::warning, event,
         {{"flow", flow_id(packet.flow)}, {"seq", packet.sequence}, {"opens", routing::may_start_flow(packet.kind)},
             {"upstream", facts.self.value()}});
 }
@@ -80,7 +83,10 @@
 void log_unrouted(
     const routing::packet_facts& packet, routing::address_state address, bool rejected, const core::version& version)
 {
-    observability::write_log(log_level::warning, rejected ? "flow_rejected" : "packet_dropped",
+    const std::string_view event = rejected ? "flow_rejected" : "packet_dropped";
+    if (!observability::claim_line(event))
+        return;
+    observability::write_claimed_line(log_level::warning, event,
         {{"flow", flow_id(packet.flow)}, {"seq", packet.sequence}, {"copies", packet.copies},
             {"reason", address_name(address)}, {"table", to_string(version)}});
 }
--- a/libraries/ibisdyke/observability/log.cpp
+++ b/libraries/ibisdyke/observability/log.cpp
@@ -117,16 +117,18 @@
         boost::log::core::get()->remove_sink(sink_);
     }
 
+    bool claim(std::string_view event)
+    {
+        const std::scoped_lock lock(mutex_);
+        if (limit_.allows(event, read_clock()))
+            return true;
+        if (!std::exchange(has_suppressed_, true))
+            changed_.notify_one();
+        return false;
+    }
+
     void write(log_level level, std::string_view event, std::initializer_list<log_field> fields)
     {
-        {
-            const std::scoped_lock lock(mutex_);
-            if (!limit_.allows(event, read_clock())) {
-                if (!std::exchange(has_suppressed_, true))
-                    changed_.notify_one();
-                return;
-            }
-        }
         push(level, event, format_fields(fields));
         {
             const std::scoped_lock lock(mutex_);
@@ -332,10 +334,22 @@
     present_pipeline().reset();
 }
 
-void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+bool claim_line(std::string_view event)
+{
+    const auto& it = present_pipeline();
+    return it && it->claim(event);
+}
+
+void write_claimed_line(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (const auto& it = present_pipeline())
         it->write(level, event, fields);
 }
 
+void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (claim_line(event))
+        write_claimed_line(level, event, fields);
+}
+
 } // namespace ibisdyke::observability
--- a/libraries/ibisdyke/observability/log.h
+++ b/libraries/ibisdyke/observability/log.h
@@ -52,6 +52,14 @@
 /// is written once a second. Callable from any thread.
 void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+/// Counts a line of the event and returns whether it is to be written, with write_claimed_line(). For lines about
+/// packets: in a flood nearly all are left out, and their fields cost more than the decision that they tell of.
+/// Callable from any thread.
+bool claim_line(std::string_view event);
+
+/// Writes a line that claim_line() has allowed, as write_log() does.
+void write_claimed_line(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
 /// Lines of one event that a process writes in a second.
 constexpr int lines_per_second = 100;
 
--- a/libraries/ibisdyke/observability/tests/log_test.cpp
+++ b/libraries/ibisdyke/observability/tests/log_test.cpp
@@ -1,3 +1,4 @@
+#include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/observability/log_limit.h"
 #include "ibisdyke/observability/log_output.h"
@@ -114,6 +115,22 @@
     CHECK(std::chrono::steady_clock::now() - begin < 5s);
 }
 
+// Guards against lines about packets that are worked out in a flood although nearly all of them are left out, and
+// against lines that are left out without being counted.
+TEST_CASE("a line that may not be written is refused before its fields are made, and counted")
+{
+    CHECK_FALSE(observability::claim_line("claimed"));
+    observability::counter_registry counters;
+    observability::initialise_log("test", counters);
+    int allowed = 0;
+    constexpr int excess = 7;
+    for (int i = 0; i < observability::lines_per_second + excess; ++i)
+        allowed += observability::claim_line("claimed") ? 1 : 0;
+    observability::finish_log();
+    CHECK(allowed == observability::lines_per_second);
+    CHECK(counters.find("log_lines_left_out").value() == excess);
+}
+
 // Guards against a process that ends because the reader of its log has gone.
 TEST_CASE("a reader that has gone costs lines only")
 {
