routing: Give an upstream's intake and an agent's tables classes of their own

Cause: flow_agent (512 lines, 20 private functions) held three duties: the search for a flow, whether the upstream gets a new one, and which versions of tables are still in use.

Change: upstream_intake decides whether the upstream gets a new flow, from its work, its failures, what it has returned and the limits of admission; table_history knows the versions applied and seen; packet_decision.h holds the result's types. flow_agent has 419 lines left. Names of packet_action are gone with their half of a test: nothing wrote them.

Ruled out: a class for placement with the fallback among candidates. It needs the flow table, the search and the intake, so it would be flow_agent again.

--- a/libraries/ibisdyke/frontends/packets/flow_log.h
+++ b/libraries/ibisdyke/frontends/packets/flow_log.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ibisdyke/routing/agent_facts.h"
-#include "ibisdyke/routing/flow_agent.h"
 #include "ibisdyke/routing/messages.h"
+#include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_facts.h"
 #include "ibisdyke/routing/router.h"
 
--- a/libraries/ibisdyke/routing/decision_names.cpp
+++ b/libraries/ibisdyke/routing/decision_names.cpp
@@ -31,25 +31,6 @@
     return "answer_limit";
 }
 
-std::string_view to_string(packet_action it)
-{
-    switch (it) {
-    case packet_action::deliver:
-        return "deliver";
-    case packet_action::place:
-        return "place";
-    case packet_action::adopt:
-        return "adopt";
-    case packet_action::forward:
-        return "forward";
-    case packet_action::reject:
-        return "reject";
-    case packet_action::drop:
-        break;
-    }
-    return "drop";
-}
-
 std::string_view to_string(search_phase it)
 {
     switch (it) {
--- a/libraries/ibisdyke/routing/decision_names.h
+++ b/libraries/ibisdyke/routing/decision_names.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibisdyke/routing/flow_agent.h"
 #include "ibisdyke/routing/messages.h"
+#include "ibisdyke/routing/packet_decision.h"
 
 #include <array>
 #include <string_view>
@@ -15,7 +15,6 @@
 
 /// Returns the names by which logs and counters tell decisions apart, for example "no_capacity".
 std::string_view to_string(packet_reason it);
-std::string_view to_string(packet_action it);
 std::string_view to_string(search_phase it);
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -26,20 +26,6 @@
 using detail::use_chain;
 using detail::was_asked;
 
-/// The share of a route's latency target that the upstream may take; the rest is for the network and for variation.
-constexpr int upstream_share_percent = 50;
-
-/// An upstream without a free slot for this long is not likely to have one when a caller comes again: as long as
-/// callers take to send their last copy of a SYN.
-constexpr core::milliseconds lasting_overload{600};
-
-/// What a failing upstream's load counts for, in thousandths of its slots: more than any queue, so that it takes a new
-/// flow only where no other candidate can.
-constexpr std::uint32_t failing_load = 1'000'000;
-
-/// A caller gives its attempt up after it has sent this copy of a SYN.
-constexpr std::uint32_t last_copy = 2;
-
 packet_decision rejected(packet_reason reason)
 {
     return {packet_action::reject, reason, std::nullopt};
@@ -61,7 +47,6 @@
 
 flow_agent::flow_agent(const flow_limits& limits, double extensions_per_second, const answer_limits& answers)
     : flows_(limits)
-    , new_flows_(flow_admission{}.new_flows_per_second, flow_admission{}.burst)
     , extensions_(extensions_per_second, std::max(extensions_per_second, 1.0))
     , new_answers_(answers.per_second, answers.burst)
     , open_answers_(answers.per_second, answers.burst)
@@ -89,7 +74,7 @@
         return dropped(packet_reason::foreign);
     if (header.hops >= max_hops)
         return dropped(packet_reason::too_many_hops);
-    note_version(header.table, facts, now);
+    tables_.note_seen(header.table, facts.applied, now);
     // An agent in a failure domain that is out gives up its own flows only. Balancers and agents apply the change at
     // different times, so flows of other members still pass here and must go on along their chain.
     if (auto known = follow(packet, header, facts, now))
@@ -143,7 +128,7 @@
     if (known == nullptr)
         return std::nullopt;
     if (!known->redirect && packet.has_data)
-        pending_.begin(packet.flow, now);
+        intake_.note_request(packet.flow, now);
     if (!known->redirect)
         return facts.domain_out ? rejected(packet_reason::domain_out)
                                 : packet_decision{packet_action::deliver, packet_reason::none, std::nullopt};
@@ -184,7 +169,7 @@
     if (adoptable && packet.kind != packet_kind::syn) {
         header.position = *header.restarted;
         header.phase = search_phase::assign;
-    } else if (packet.kind != packet_kind::syn && lacks_change(header, facts, now)) {
+    } else if (packet.kind != packet_kind::syn && tables_.lacks_change(header.table, facts.applied, now)) {
         // The change that this agent and the balancer lack may have hidden the flow's member. The caller sends the
         // packet again.
         return dropped(packet_reason::unknown_flow);
@@ -246,13 +231,11 @@
     if (!names(header, facts))
         return dropped(packet_reason::foreign);
     flows_.erase(packet.flow);
-    pending_.forget(packet.flow, now);
+    intake_.note_disowned(packet, now);
     auto next = header;
     next.asked |= 1U << header.position;
-    if (may_start_flow(packet.kind)) {
-        refuses_until_ = now + refusal_pause;
+    if (may_start_flow(packet.kind))
         return limit_answer(place_disowned(packet, std::move(next), facts, now), packet, now);
-    }
     next.phase = search_phase::find;
     return limit_answer(search(packet, std::move(next), facts, now), packet, now);
 }
@@ -279,22 +262,6 @@
                                               : dropped(packet_reason::unknown_flow);
 }
 
-void flow_agent::note_version(const core::version& seen, const agent_facts& facts, core::time_point now)
-{
-    newest_seen_ = std::max(newest_seen_, seen);
-    if (newest_seen_ <= facts.applied)
-        behind_since_.reset();
-    else if (!behind_since_)
-        behind_since_ = now;
-}
-
-/// Whether other processes have a change that neither this agent nor the packet's balancer has. An agent that stays cut
-/// off goes on without it after table_lag.
-bool flow_agent::lacks_change(const packet_header& header, const agent_facts& facts, core::time_point now) const
-{
-    return behind_since_ && now - *behind_since_ < table_lag && newest_seen_ > std::max(header.table, facts.applied);
-}
-
 packet_decision flow_agent::place(
     const packet_facts& packet, packet_header header, const agent_facts& facts, core::time_point now)
 {
@@ -302,8 +269,7 @@
         return unknown(packet, now);
     if (is_outdated(header, facts))
         return search_again(packet, std::move(header), facts, now);
-    pending_.set_slots(facts.admission.slots);
-    const auto refused = refusal(packet, facts, now);
+    const auto refused = intake_.refusal(packet, facts, flows_.open_flows(), now);
     const bool admitted = !refused;
     const bool last = header.position + 1 >= header.candidates;
     const auto own = load(now);
@@ -326,41 +292,11 @@
         const auto next = *header.fallback;
         return pass_along(packet, std::move(header), next, search_phase::assign, now);
     }
-    if (refused && may_come_again(packet, *refused, now))
+    if (refused && intake_.may_come_again(packet, *refused, now))
         return dropped(*refused);
     return rejected(refused.value_or(packet_reason::no_capacity));
 }
 
-/// Whether the caller is to come again with the next copy of its SYN instead of being refused: it has one left, and the
-/// upstream had a free slot so lately that it may have one again by then. A caller that is refused tries again at once.
-bool flow_agent::may_come_again(const packet_facts& packet, packet_reason refused, core::time_point now) const
-{
-    if (packet.copies >= last_copy)
-        return false;
-    if (refused == packet_reason::yields)
-        return true;
-    const auto since = pending_.busy_since();
-    return refused == packet_reason::overloaded && (!since || now - *since < lasting_overload);
-}
-
-/// Returns why this agent does not take the new flow now, or nothing when it may. Under more load than the upstreams
-/// bear, a long queue makes every answer late: flows are refused as soon as their answers would be, and flows that have
-/// waited already leave the slots to those that can still be answered in time.
-std::optional<packet_reason> flow_agent::refusal(
-    const packet_facts& packet, const agent_facts& facts, core::time_point now)
-{
-    if (facts.domain_out || !admits(facts.admission, now))
-        return packet_reason::no_capacity;
-    if (packet.copies > 0 && pending_.waiting() > 0)
-        return packet_reason::yields;
-    const auto* const route = facts.table ? facts.table->destinations().find(packet.flow) : nullptr;
-    const auto expected = pending_.expected_time();
-    if (route == nullptr || !expected || pending_.waiting() == 0 || route->latency_target == core::milliseconds{0})
-        return std::nullopt;
-    const auto bound = route->latency_target * upstream_share_percent / 100;
-    return *expected > bound ? std::optional(packet_reason::overloaded) : std::nullopt;
-}
-
 packet_decision flow_agent::assign(
     const packet_facts& packet, const packet_header& header, const agent_facts& facts, core::time_point now)
 {
@@ -376,7 +312,7 @@
     }
     if (is_outdated(header, facts))
         return search_again(packet, header, facts, now);
-    if (admits(facts.admission, now))
+    if (intake_.admits(facts.admission, flows_.open_flows(), now))
         return take(packet, header, facts, now);
     // A restarted member that cannot take a datagram now leaves it to the candidates.
     auto placed = header;
@@ -402,8 +338,7 @@
 /// newer chains.
 bool flow_agent::is_outdated(const packet_header& header, const agent_facts& facts) const
 {
-    const auto& oldest = applied_.empty() ? facts.applied : applied_.front().second;
-    return facts.members != nullptr && header.table < oldest;
+    return facts.members != nullptr && header.table < tables_.oldest(facts.applied);
 }
 
 /// Begins the search for the flow again with the chain of this agent's table, as if a balancer with that table had sent
@@ -431,8 +366,7 @@
     const auto began = std::min(header.table, facts.applied);
     if (!flows_.insert(packet, {std::nullopt, began}, now))
         return rejected(packet_reason::table_full);
-    new_flows_.take(now);
-    pending_.open(packet.flow, now);
+    intake_.note_placed(packet.flow, now);
     return {packet_action::place, packet_reason::none, std::nullopt};
 }
 
@@ -457,56 +391,29 @@
     return true;
 }
 
-bool flow_agent::admits(const flow_admission& admission, core::time_point now)
-{
-    new_flows_.set_rate(admission.new_flows_per_second, admission.burst);
-    return now >= refuses_until_ && admission.accepts_new_flows && flows_.open_flows() < admission.max_open_flows
-        && new_flows_.allows(now);
-}
-
 void flow_agent::maintain(const agent_facts& facts, core::time_point now)
 {
     if (facts.domain_out)
         flows_.clear();
-    // What an earlier run of the upstream did says nothing of the present one.
-    if (std::exchange(upstream_, facts.upstream) != facts.upstream)
-        failures_.reset();
     flows_.expire(now);
-    for (auto n = pending_.take_overdue(now); n > 0; --n)
-        failures_.note_failure(now);
-    pending_.expire(now);
-    if (applied_.empty() || applied_.back().second < facts.applied)
-        applied_.emplace_back(now, facts.applied);
-    while (applied_.size() > 1 && now - applied_[1].first >= table_lag)
-        applied_.pop_front();
+    intake_.maintain(facts.upstream, now);
+    tables_.note_applied(facts.applied, now);
 }
 
 void flow_agent::note_answer(const packet_facts& answer, core::time_point now)
 {
-    if (answer.has_data && pending_.answer(answer.flow, now))
-        failures_.note_success();
-    if (answer.kind != packet_kind::closing)
-        return;
-    if (pending_.forget(answer.flow, now) && answer.is_reset)
-        failures_.note_failure(now);
-    flows_.close(answer.flow, now);
-}
-
-upstream_load flow_agent::load(core::time_point now) const
-{
-    const auto waiting = pending_.waiting() + (failures_.is_failing(now) ? failing_load : 0);
-    return {waiting, static_cast<std::uint32_t>(flows_.active_flows())};
+    intake_.note_answer(answer, now);
+    if (answer.kind == packet_kind::closing)
+        flows_.close(answer.flow, now);
 }
 
 core::version flow_agent::watermark(const agent_facts& facts, core::time_point now) const
 {
-    auto result = facts.applied;
-    if (!applied_.empty())
-        result = std::min(result, applied_.front().second);
+    auto result = tables_.oldest(facts.applied);
     if (const auto oldest = flows_.watermark())
         result = std::min(result, *oldest);
     // A packet may be on its way to this agent for adoption when the recovery window ends.
-    return is_recovering(facts, now - table_lag) ? std::min(result, earliest(facts)) : result;
+    return is_recovering(facts, now - table_history::table_lag) ? std::min(result, earliest(facts)) : result;
 }
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/tests/decision_names_test.cpp
+++ b/libraries/ibisdyke/routing/tests/decision_names_test.cpp
@@ -19,13 +19,8 @@
     CHECK(packet_reasons.back() == packet_reason::answer_limit);
 }
 
-TEST_CASE("actions and phases have names of their own")
+TEST_CASE("the phases of a search have names of their own")
 {
-    std::set<std::string_view> actions;
-    for (const auto it : {packet_action::deliver, packet_action::place, packet_action::adopt, packet_action::forward,
-             packet_action::reject, packet_action::drop})
-        actions.insert(to_string(it));
-    CHECK(actions.size() == 6);
     CHECK(to_string(search_phase::find) == "find");
     CHECK(to_string(search_phase::place) == "place");
     CHECK(to_string(search_phase::assign) == "assign");
