control: Name no leader while this one hands over

Cause: found while reading the hand-over: a leader that hands over refuses changes, but still named itself as the leader, so an operator was redirected to the process that had just refused.

Figures: the new test fails before (leader() named the process itself) and passes after. Tests of control green.

--- a/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
@@ -103,11 +103,13 @@
     return node_->has_heard_leader(within, transport::read_clock());
 }
 
-/// Returns the leader that this member can vouch for. One that writes nothing hears nothing from the leader either.
+/// Returns the leader that this member can vouch for. One that writes nothing hears nothing from the leader either, and
+/// one that hands over refuses what it would be sent.
 const replication::member* replicated_control_group::find_leader() const
 {
     const auto id = node_->leader();
-    const bool stale = !is_usable() || (id == options_.raft.self && !is_leader());
+    const bool leads = is_leader() && !node_->hands_over(transport::read_clock());
+    const bool stale = !is_usable() || (id == options_.raft.self && !leads);
     return id && !stale ? find_member(*id) : nullptr;
 }
 
--- a/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
@@ -282,3 +282,19 @@
     const frontends::control_command batch = create_batch(3);
     CHECK(frontends::wire::decode_control_command(frontends::wire::encode(batch)) == batch);
 }
+
+// Guards against a leader that stops and redirects operators to itself, because it refuses their changes.
+TEST_CASE_METHOD(group_fixture, "a leader that hands over names no leader until another member leads")
+{
+    REQUIRE(wait_for([&] { return leader() != nullptr; }));
+    auto& old = *leader();
+    REQUIRE(submit(old, "before")->status == submit_status::committed);
+    bool done = false;
+    old.group->hand_over(std::chrono::milliseconds(1000), [&] { done = true; });
+    CHECK_FALSE(old.group->leader());
+    CHECK(submit(old, "during")->status == submit_status::not_leader);
+    REQUIRE(wait_for([&] { return done; }));
+    REQUIRE(wait_for([&] { return leader() != nullptr; }));
+    CHECK(leader() != &old);
+    CHECK(old.group->leader());
+}
