observability: Write a line for each message that cannot be read

Change: note_malformed() counts and writes message_malformed with the reason; packets write packet_malformed, answers to lookups lookup_answer_malformed. All are bounded by the limit of lines for each event.

--- a/libraries/ibisdyke/frontends/control/group_upkeep.cpp
+++ b/libraries/ibisdyke/frontends/control/group_upkeep.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/replication/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -54,8 +55,8 @@
         if (group_.is_leader())
             add(joining);
         answer->respond(replication::wire::encode(replication::join_answer{group_.leader()}));
-    } catch (const core::malformed_message&) {
-        counters_.add("join_requests_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "join_requests_malformed", e);
         answer->refuse();
     }
 }
@@ -146,8 +147,8 @@
         return;
     try {
         named_leader_ = replication::wire::decode_join_answer(result.body).leader;
-    } catch (const core::malformed_message&) {
-        counters_.add("join_answers_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "join_answers_malformed", e);
     }
 }
 
--- a/libraries/ibisdyke/frontends/control/lease_manager.cpp
+++ b/libraries/ibisdyke/frontends/control/lease_manager.cpp
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
 #include "ibisdyke/observability/log.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/transport/clock.h"
 #include "ibisdyke/transport/rpc_client.h"
 
@@ -100,8 +101,8 @@
         const auto answer = table_->on_heartbeat(message, transport::read_clock());
         note_usage(message.usage);
         to->respond(membership::wire::encode(answer));
-    } catch (const core::malformed_message&) {
-        counters_.add("heartbeats_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "heartbeats_malformed", e);
         to->refuse();
     }
 }
@@ -124,8 +125,8 @@
             to->respond(membership::wire::encode(*answer));
         else
             waiting_.push_back({message.sender, now, to});
-    } catch (const core::malformed_message&) {
-        counters_.add("heartbeats_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "heartbeats_malformed", e);
         to->refuse();
     }
 }
@@ -148,8 +149,8 @@
                 note_batch_usage(it.usage);
         }
         to->respond(membership::wire::encode(answer));
-    } catch (const core::malformed_message&) {
-        counters_.add("lease_batches_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "lease_batches_malformed", e);
         to->refuse();
     }
 }
@@ -193,8 +194,8 @@
             counters_.add("lease_batches_refused", 1);
         senders_.on_answer(number, answer, now);
         answer_waiting(now);
-    } catch (const core::malformed_message&) {
-        counters_.add("lease_batch_answers_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "lease_batch_answers_malformed", e);
     }
 }
 
@@ -304,8 +305,8 @@
     // One sender's malformed report must not keep the leader from taking the others' leases.
     try {
         note_usage(usage);
-    } catch (const core::malformed_message&) {
-        counters_.add("usage_reports_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "usage_reports_malformed", e);
     }
 }
 
--- a/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/observability/log.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/replication/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 #include "ibisdyke/transport/rpc_client.h"
@@ -228,7 +229,7 @@
         const auto message = replication::wire::decode_message(body);
         enqueue({node_->step(message, transport::read_clock()), message.from, answer});
     } catch (const core::malformed_message& e) {
-        note_malformed(e);
+        observability::note_malformed(counters_, "replication_messages_malformed", e);
         answer->refuse();
     }
 }
@@ -240,17 +241,10 @@
     try {
         enqueue({node_->step(replication::wire::decode_message(body), transport::read_clock()), std::nullopt, nullptr});
     } catch (const core::malformed_message& e) {
-        note_malformed(e);
+        observability::note_malformed(counters_, "replication_messages_malformed", e);
     }
 }
 
-void replicated_control_group::note_malformed(const core::malformed_message& error)
-{
-    counters_.add("replication_messages_malformed", 1);
-    observability::write_log(
-        observability::log_level::warning, "replication_message_malformed", {{"error", error.what()}});
-}
-
 void replicated_control_group::on_timer()
 {
     if (is_usable())
--- a/libraries/ibisdyke/frontends/control/replicated_control_group.h
+++ b/libraries/ibisdyke/frontends/control/replicated_control_group.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "ibisdyke/core/error.h"
 #include "ibisdyke/frontends/control/control_group.h"
 #include "ibisdyke/frontends/control/control_state_machine.h"
 #include "ibisdyke/frontends/control/log_writer.h"
@@ -105,7 +104,6 @@
 
     void on_call(const std::string& body, const responder& answer);
     void on_message(const std::string& body);
-    void note_malformed(const core::malformed_message& error);
     void on_timer();
     void enqueue(work it);
     void flush();
--- a/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/membership/wire/codec.h"
 #include "ibisdyke/observability/log.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/transport/clock.h"
 
 #include <QPointer>
@@ -98,8 +99,8 @@
         if (answer.result == membership::heartbeat_result::no_leader)
             move_on(control);
         on_answer_(answer);
-    } catch (const core::malformed_message&) {
-        counters_.add("heartbeat_answers_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "heartbeat_answers_malformed", e);
         move_on(control);
     }
 }
--- a/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
@@ -3,6 +3,7 @@
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/dissemination/wire/codec.h"
 #include "ibisdyke/observability/log.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/transport/clock.h"
 
 #include <QPointer>
@@ -149,8 +150,8 @@
     try {
         const auto message = dissemination::wire::decode_feed_message(bytes);
         std::visit([this](const auto& it) { on_content(it); }, message);
-    } catch (const core::malformed_message&) {
-        counters_.add("feed_messages_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "feed_messages_malformed", e);
         note_failure();
         schedule_move();
     }
--- a/libraries/ibisdyke/frontends/discovery/subscription_server.cpp
+++ b/libraries/ibisdyke/frontends/discovery/subscription_server.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/dissemination/wire/codec.h"
+#include "ibisdyke/observability/malformed_message.h"
 #include "ibisdyke/transport/clock.h"
 
 #include <QJsonArray>
@@ -59,8 +60,8 @@
     drop_closed();
     try {
         accept(dissemination::wire::decode_subscribe_request(body), publisher);
-    } catch (const core::malformed_message&) {
-        counters_.add("subscribe_requests_malformed", 1);
+    } catch (const core::malformed_message& e) {
+        observability::note_malformed(counters_, "subscribe_requests_malformed", e);
         publisher->close();
     }
 }
--- a/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/frontends/packets/flow_log.h"
+#include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
 
@@ -180,8 +181,9 @@
             malformed_.add(1);
             return;
         }
-    } catch (const core::malformed_message&) {
+    } catch (const core::malformed_message& e) {
         malformed_.add(1);
+        observability::write_log(observability::log_level::warning, "packet_malformed", {{"error", e.what()}});
     }
 }
 
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -233,8 +233,9 @@
         if (parts.kind != routing::wire::datagram_kind::packet)
             return counters_->malformed.add(1);
         handle_packet(parts.message, parts.packet, now);
-    } catch (const core::malformed_message&) {
+    } catch (const core::malformed_message& e) {
         counters_->malformed.add(1);
+        observability::write_log(observability::log_level::warning, "packet_malformed", {{"error", e.what()}});
     }
 }
 
--- a/libraries/ibisdyke/frontends/requests/server_request_claim.cpp
+++ b/libraries/ibisdyke/frontends/requests/server_request_claim.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/frontends/requests/request_server.h"
+#include "ibisdyke/observability/log.h"
 #include "ibisdyke/requests/deadline.h"
 #include "ibisdyke/requests/wire/codec.h"
 #include "ibisdyke/transport/clock.h"
@@ -33,7 +34,8 @@
         return std::nullopt;
     try {
         return requests::decode_lookup_answer(result.body);
-    } catch (const core::malformed_message&) {
+    } catch (const core::malformed_message& e) {
+        observability::write_log(observability::log_level::warning, "lookup_answer_malformed", {{"error", e.what()}});
         return std::nullopt;
     }
 }
--- /dev/null
+++ b/libraries/ibisdyke/observability/malformed_message.cpp
@@ -0,0 +1,13 @@
+#include "ibisdyke/observability/malformed_message.h"
+
+#include "ibisdyke/observability/log.h"
+
+namespace ibisdyke::observability {
+
+void note_malformed(counter_sink& counters, std::string_view counter, const core::malformed_message& why)
+{
+    counters.add(counter, 1);
+    write_log(log_level::warning, "message_malformed", {{"counter", counter}, {"error", why.what()}});
+}
+
+} // namespace ibisdyke::observability
--- a/libraries/ibisdyke/observability/tests/log_test.cpp
+++ b/libraries/ibisdyke/observability/tests/log_test.cpp
@@ -2,6 +2,7 @@
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/observability/log_limit.h"
 #include "ibisdyke/observability/log_output.h"
+#include "ibisdyke/observability/malformed_message.h"
 
 #include <catch2/catch.hpp>
 
@@ -131,6 +132,14 @@
     CHECK(counters.find("log_lines_left_out").value() == excess);
 }
 
+// Guards against a message that could not be read and is missing from counters.
+TEST_CASE("a malformed message is counted under the name of what it was")
+{
+    observability::counter_registry counters;
+    observability::note_malformed(counters, "heartbeats_malformed", core::malformed_message("cut short"));
+    CHECK(counters.find("heartbeats_malformed").value() == 1);
+}
+
 // Guards against a process that ends because the reader of its log has gone.
 TEST_CASE("a reader that has gone costs lines only")
 {
