docs: Name the parts of the front ends plainly

The folders under frontends/ were called rooms in the design, the build and check-slices, which is no term of the field. No code changes.

--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -1,5 +1,5 @@
 # Adds one slice of the library from the sources in its folder: decision code, generated and hand-written wire code,
-# and the tests below tests/. A slice is named after its folder; that of a room in a slice has an underscore for the slash.
+# and the tests below tests/. A slice is named after its folder; a part of a slice has an underscore for the slash.
 function(ibisdyke_slice path)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   set(folder ${CMAKE_CURRENT_SOURCE_DIR}/${path})
