--- a/benchmarks/dissemination_benchmark.cpp
+++ b/benchmarks/dissemination_benchmark.cpp
@@ -12,6 +12,7 @@
 #include "ibisdyke/transport/http2_server.h"
 #include "ibisdyke/transport/rpc_client.h"
 #include "ibisdyke/transport/rpc_router.h"
+#include "processor_time.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -52,9 +53,8 @@
 /// CPU time of the calling thread.
 double read_cpu_us()
 {
-    timespec it{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
-    return static_cast<double>(it.tv_sec) * 1e6 + static_cast<double>(it.tv_nsec) / 1e3;
+    const auto it = benchmarks::processor_time(CLOCK_THREAD_CPUTIME_ID);
+    return std::chrono::duration<double, std::micro>(it).count();
 }
 
 /// Returns the mean CPU time of `n` calls in microseconds.
--- a/benchmarks/lease_batch_benchmark.cpp
+++ b/benchmarks/lease_batch_benchmark.cpp
@@ -6,10 +6,12 @@
 #include "ibisdyke/membership/follower_table.h"
 #include "ibisdyke/membership/sender_table.h"
 #include "ibisdyke/membership/wire/codec.h"
+#include "processor_time.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <chrono>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
@@ -28,9 +30,8 @@
 
 double read_cpu_ms()
 {
-    timespec it{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
-    return static_cast<double>(it.tv_sec) * 1e3 + static_cast<double>(it.tv_nsec) / 1e6;
+    const auto it = benchmarks::processor_time(CLOCK_PROCESS_CPUTIME_ID);
+    return std::chrono::duration<double, std::milli>(it).count();
 }
 
 heartbeat create_heartbeat(std::size_t n)
--- a/benchmarks/log_cost.cpp
+++ b/benchmarks/log_cost.cpp
@@ -8,12 +8,12 @@
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/testing/simulated_hosts.h"
+#include "processor_time.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
 
-#include <algorithm>
-#include <array>
+#include <chrono>
 #include <ctime>
 #include <iostream>
 #include <string>
@@ -27,18 +27,21 @@
 constexpr std::uint32_t flows = 20'000;
 constexpr int segments = 4;
 constexpr int rounds = 7;
-constexpr double nanoseconds = 1e9;
 
 enum class logging : std::uint8_t {
     off,
     on,
 };
 
-double processor_seconds()
+std::chrono::nanoseconds process_time()
 {
-    timespec it{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
-    return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) / nanoseconds;
+    return benchmarks::processor_time(CLOCK_PROCESS_CPUTIME_ID);
+}
+
+/// Returns nanoseconds of processor time for each of n since a time of the process.
+double cost_since(std::chrono::nanoseconds begin, double n)
+{
+    return static_cast<double>((process_time() - begin).count()) / n;
 }
 
 /// Returns nanoseconds of processor time for each flow.
@@ -61,20 +64,20 @@
         if (mode == logging::on)
             frontends::log_decision({packet, header, decision, facts, agent.load(hosts.now)});
     };
-    const auto begin = processor_seconds();
+    const auto begin = process_time();
     for (std::uint32_t caller = 0; caller < flows; ++caller) {
         handle(simulated_hosts::packet(caller, routing::packet_kind::syn));
         for (int i = 0; i < segments; ++i)
             handle(simulated_hosts::packet(caller, routing::packet_kind::segment));
     }
-    return (processor_seconds() - begin) * nanoseconds / flows;
+    return cost_since(begin, flows);
 }
 
 /// Returns nanoseconds of processor time for each line that is written, its writer thread included.
 double line_cost(observability::counter_registry& counters)
 {
     observability::initialise_log("benchmark", counters);
-    const auto begin = processor_seconds();
+    const auto begin = process_time();
     constexpr int events = 10;
     for (int event = 0; event < events; ++event) {
         const auto name = "measured_" + std::to_string(event);
@@ -84,13 +87,7 @@
                     {"accepts", true}, {"flows_per_s", 12.5}, {"open_flows", i}});
     }
     observability::finish_log();
-    return (processor_seconds() - begin) * nanoseconds / (events * observability::lines_per_second);
-}
-
-double median(std::vector<double> values)
-{
-    std::sort(values.begin(), values.end());
-    return values[values.size() / 2];
+    return cost_since(begin, events * observability::lines_per_second);
 }
 
 } // namespace
@@ -106,7 +103,7 @@
         on.push_back(flow_cost(logging::on));
         observability::finish_log();
     }
-    const QJsonObject result{
-        {"flow_ns_log_off", median(off)}, {"flow_ns_log_on", median(on)}, {"written_line_ns", line_cost(counters)}};
+    const QJsonObject result{{"flow_ns_log_off", benchmarks::median(off)}, {"flow_ns_log_on", benchmarks::median(on)},
+        {"written_line_ns", line_cost(counters)}};
     std::cerr << QJsonDocument(result).toJson(QJsonDocument::Compact).constData() << '\n';
 }
--- a/benchmarks/packet_rate.cpp
+++ b/benchmarks/packet_rate.cpp
@@ -8,6 +8,7 @@
 #include "ibisdyke/frontends/packets/packet_forwarder.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/transport/udp_socket.h"
+#include "processor_time.h"
 
 #include <QCoreApplication>
 #include <QJsonDocument>
@@ -125,9 +126,7 @@
 
 double processor_seconds(clockid_t clock)
 {
-    timespec it{};
-    clock_gettime(clock, &it);
-    return static_cast<double>(it.tv_sec) + 1e-9 * static_cast<double>(it.tv_nsec);
+    return std::chrono::duration<double>(benchmarks::processor_time(clock)).count();
 }
 
 /// Counts the datagrams that arrive at an address.
@@ -217,8 +216,7 @@
     it.reserve(rates.size());
     for (const auto& one : rates)
         it.push_back(one.*value);
-    std::sort(it.begin(), it.end());
-    return it[it.size() / 2];
+    return benchmarks::median(std::move(it));
 }
 
 } // namespace
--- a/benchmarks/routing_decision.cpp
+++ b/benchmarks/routing_decision.cpp
@@ -6,6 +6,7 @@
 #include "ibisdyke/frontends/packets/forwarding_snapshot.h"
 #include "ibisdyke/frontends/packets/ip_packet_format.h"
 #include "ibisdyke/routing/chain_router.h"
+#include "processor_time.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -61,9 +62,7 @@
 /// Returns the processor time of this thread: other work on the machine does not count.
 std::chrono::nanoseconds thread_time()
 {
-    timespec it{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
-    return std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec);
+    return benchmarks::processor_time(CLOCK_THREAD_CPUTIME_ID);
 }
 
 /// Returns the median over repetitions of the mean processor time of one call, in nanoseconds.
@@ -80,8 +79,7 @@
     // Uses the results, so that the compiler cannot leave the work out.
     if (sum == 0)
         std::cerr << "no packet was routed\n";
-    std::sort(results.begin(), results.end());
-    return results[results.size() / 2];
+    return benchmarks::median(std::move(results));
 }
 
 double milliseconds_since(std::chrono::nanoseconds begin)
--- a/benchmarks/usage_benchmark.cpp
+++ b/benchmarks/usage_benchmark.cpp
@@ -5,10 +5,12 @@
 
 #include "ibisdyke/accounting/usage_collector.h"
 #include "ibisdyke/accounting/wire/codec.h"
+#include "processor_time.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <chrono>
 #include <ctime>
 #include <iostream>
 #include <string>
@@ -23,9 +25,8 @@
 
 double read_cpu_ms()
 {
-    timespec it{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
-    return static_cast<double>(it.tv_sec) * 1e3 + static_cast<double>(it.tv_nsec) / 1e6;
+    const auto it = benchmarks::processor_time(CLOCK_PROCESS_CPUTIME_ID);
+    return std::chrono::duration<double, std::milli>(it).count();
 }
 
 template <typename Action>
