--- a/libraries/ibisdyke/frontends/control/group_upkeep.cpp
+++ b/libraries/ibisdyke/frontends/control/group_upkeep.cpp
@@ -16,12 +16,8 @@
 namespace {
 
 constexpr const char* join_path = "/replication/join";
-constexpr core::milliseconds tick_period{200};
 constexpr core::milliseconds join_timeout{500};
 
-/// A process that has heard of no leader for this long asks to join: longer than several elections.
-constexpr core::milliseconds leader_silence{1'000};
-
 /// The pause between two requests to join.
 constexpr core::milliseconds join_pause{400};
 
@@ -45,7 +41,7 @@
             self->on_join(body, answer);
     });
     connect(&timer_, &QTimer::timeout, this, &group_upkeep::on_tick);
-    timer_.start(tick_period);
+    timer_.start(replication::upkeep_period);
 }
 
 void group_upkeep::on_join(const std::string& body, const std::shared_ptr<transport::rpc_responder>& answer)
@@ -63,7 +59,7 @@
 
 void group_upkeep::add(const replication::member& joining)
 {
-    if (!replication::may_join(members(transport::read_clock()), joining, limits_))
+    if (!replication::may_join(view_members(group_.node(), transport::read_clock()), joining, limits_))
         return;
     group_.add_member(joining, [joining](replication::proposal_status status) {
         if (status == replication::proposal_status::appended)
@@ -76,23 +72,15 @@
 {
     if (group_.is_leader())
         remove_silent();
-    else if (!group_.has_heard_leader(leader_silence))
+    else if (!group_.has_heard_leader(replication::leader_silence))
         ask_to_join();
 }
 
-std::vector<replication::member_view> group_upkeep::members(core::time_point now) const
-{
-    std::vector<replication::member_view> result;
-    for (const auto& it : group_.node().configuration().members)
-        result.push_back({it, group_.node().silence_of(it.id, now)});
-    return result;
-}
-
 void group_upkeep::remove_silent()
 {
     if (removing_)
         return;
-    const auto removed = replication::member_to_remove(members(transport::read_clock()), limits_);
+    const auto removed = replication::member_to_remove(view_members(group_.node(), transport::read_clock()), limits_);
     if (!removed)
         return;
     removing_ = true;
--- a/libraries/ibisdyke/frontends/control/group_upkeep.h
+++ b/libraries/ibisdyke/frontends/control/group_upkeep.h
@@ -40,7 +40,6 @@
     void ask_to_join();
     void on_answer(const transport::rpc_result& result);
     std::vector<core::endpoint> contacts() const;
-    std::vector<replication::member_view> members(core::time_point now) const;
 
     replicated_control_group& group_;
     replication::member self_;
--- a/libraries/ibisdyke/frontends/control/log_writer.cpp
+++ b/libraries/ibisdyke/frontends/control/log_writer.cpp
@@ -6,7 +6,6 @@
 
 #include <QTimer>
 
-#include <algorithm>
 #include <utility>
 
 namespace ibisdyke::frontends {
@@ -34,7 +33,6 @@
     if (writes.base)
         joined.base = writes.base;
     joined.entries.insert(joined.entries.end(), writes.entries.begin(), writes.entries.end());
-    joined.committed = std::max(joined.committed, writes.committed);
 }
 
 bool log_writer::write_out(std::uint64_t committed)
@@ -42,7 +40,7 @@
     committed_ = committed;
     try {
         for (; !unwritten_.empty(); unwritten_.pop_front())
-            write(unwritten_.front());
+            write_first();
         return true;
     } catch (const core::storage_full& e) {
         wait_for_room(e.what());
@@ -52,13 +50,13 @@
     return false;
 }
 
-void log_writer::write(const replication::write_batch& batch)
+void log_writer::write_first()
 {
-    auto marked = batch;
-    marked.committed = committed_;
+    auto& batch = unwritten_.front();
+    batch.committed = committed_;
     const auto begin = transport::read_clock();
-    storage_.persist(marked);
-    recorded_commit_ = marked.committed;
+    storage_.persist(batch);
+    recorded_commit_ = committed_;
     counters_.add("log_syncs", 1);
     counters_.sample("log_sync_ms", std::chrono::duration<double, std::milli>(transport::read_clock() - begin).count());
 }
--- a/libraries/ibisdyke/frontends/control/log_writer.h
+++ b/libraries/ibisdyke/frontends/control/log_writer.h
@@ -33,6 +33,7 @@
     log_writer(replication::log_storage& storage, std::uint64_t recorded_commit, log_writer_observer& observer,
         observability::counter_sink& counters, QObject* parent);
 
+    /// The commit of `writes` only says that it is to be recorded; write_out() names the one that is.
     void add(const replication::write_batch& writes);
 
     /// Makes what waits durable and records the commit with it. Returns whether nothing waits any more.
@@ -52,7 +53,7 @@
         failed,
     };
 
-    void write(const replication::write_batch& batch);
+    void write_first();
     void wait_for_room(const std::string& why);
     void fail(const std::string& why);
 
--- a/libraries/ibisdyke/replication/group_keeper.cpp
+++ b/libraries/ibisdyke/replication/group_keeper.cpp
@@ -11,6 +11,14 @@
     return result;
 }
 
+std::vector<member_view> view_members(const raft_node& leader, core::time_point now)
+{
+    std::vector<member_view> result;
+    for (const auto& it : leader.configuration().members)
+        result.push_back({it, leader.silence_of(it.id, now)});
+    return result;
+}
+
 bool may_join(const std::vector<member_view>& members, const member& joining, const group_limits& limits)
 {
     const bool is_known = std::any_of(
--- a/libraries/ibisdyke/replication/group_keeper.h
+++ b/libraries/ibisdyke/replication/group_keeper.h
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/replication/messages.h"
+#include "ibisdyke/replication/raft_node.h"
 
 #include <cstddef>
 #include <optional>
@@ -9,6 +10,12 @@
 
 namespace ibisdyke::replication {
 
+/// How often a member looks whether the group needs something of it.
+constexpr core::milliseconds upkeep_period{200};
+
+/// A process that has heard of no leader for this long asks to join: longer than several elections.
+constexpr core::milliseconds leader_silence{1'000};
+
 /// The times and sizes by which a leader keeps its group.
 struct group_limits {
     /// A voter that was silent for this long is removed when enough others are left. Longer than an election.
@@ -35,6 +42,9 @@
     friend bool operator==(const member_view&, const member_view&) = default;
 };
 
+/// Returns the members as their leader sees them.
+std::vector<member_view> view_members(const raft_node& leader, core::time_point now);
+
 /// Returns whether a process that asks to join is to be added.
 bool may_join(const std::vector<member_view>& members, const member& joining, const group_limits& limits);
 
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -98,6 +98,9 @@
     /// Whether this member is handing leadership over.
     bool hands_over(core::time_point now) const { return now < hand_over_until_; }
 
+    /// Whether this member leads and takes commands and changes of the group.
+    bool takes_commands(core::time_point now) const { return leads(now) && !hands_over(now); }
+
     /// Replaces the log up to `index`, which must have been applied, by the state after it.
     output compact(std::uint64_t index, std::string state);
 
--- a/libraries/ibisdyke/replication/raft_node_replication.cpp
+++ b/libraries/ibisdyke/replication/raft_node_replication.cpp
@@ -154,7 +154,7 @@
     entry_kind kind, std::string command, group_configuration members, core::time_point now)
 {
     proposal made;
-    if (!leads(now) || hands_over(now))
+    if (!takes_commands(now))
         return made;
     made.status = proposal_status::appended;
     made.at = {ballot_.term, log_.last().index + 1};
--- a/libraries/ibisdyke/replication/tests/raft_node_test.cpp
+++ b/libraries/ibisdyke/replication/tests/raft_node_test.cpp
@@ -13,6 +13,14 @@
 
 constexpr int steps_per_second = 100;
 
+core::control_id wait_for_leader(simulated_group& group)
+{
+    for (int i = 0; i < 5 * steps_per_second && !group.leader(); ++i)
+        group.quiet_step();
+    REQUIRE(group.leader());
+    return *group.leader();
+}
+
 /// A group without random faults.
 class raft_fixture {
 public:
@@ -22,13 +30,7 @@
             group_.quiet_step();
     }
 
-    core::control_id wait_for_leader()
-    {
-        for (int i = 0; i < 5 * steps_per_second && !group_.leader(); ++i)
-            group_.quiet_step();
-        REQUIRE(group_.leader());
-        return *group_.leader();
-    }
+    core::control_id wait_for_leader() { return ::wait_for_leader(group_); }
 
     core::control_id other_than(core::control_id id) const
     {
@@ -117,10 +119,7 @@
         CAPTURE(seed);
         simulated_group group(3, 0, seed);
         group.heal();
-        for (int i = 0; i < 5 * steps_per_second && !group.leader(); ++i)
-            group.quiet_step();
-        REQUIRE(group.leader());
-        const auto old = *group.leader();
+        const auto old = wait_for_leader(group);
         REQUIRE(group.propose(old, "last"));
         group.hand_over(old);
         CHECK_FALSE(group.propose(old, "refused"));
@@ -154,12 +153,10 @@
 {
     simulated_group group(1, 0, 42);
     group.heal();
-    for (int i = 0; i < 5 * steps_per_second && !group.leader(); ++i)
-        group.quiet_step();
-    REQUIRE(group.leader());
-    group.hand_over(*group.leader());
-    CHECK_FALSE(group.node(*group.leader()).hands_over(group.now()));
-    CHECK(group.propose(*group.leader(), "taken"));
+    const auto sole = wait_for_leader(group);
+    group.hand_over(sole);
+    CHECK_FALSE(group.node(sole).hands_over(group.now()));
+    CHECK(group.propose(sole, "taken"));
 }
 
 // Guards against a group that can never commit again: it would need members that do not answer.
--- a/libraries/ibisdyke/replication/tests/simulated_group.cpp
+++ b/libraries/ibisdyke/replication/tests/simulated_group.cpp
@@ -11,10 +11,6 @@
 
 constexpr core::milliseconds step_length{10};
 
-// As frontends::group_upkeep has them.
-constexpr core::milliseconds upkeep_period{200};
-constexpr core::milliseconds leader_silence{1000};
-
 member member_with(core::control_id id)
 {
     member result;
@@ -134,12 +130,14 @@
     if (it.node || !may_lose(id))
         return false;
     it.stored = {};
-    if (upkeep_)
+    if (upkeep_) {
         it.known.clear();
-    // Without upkeep the settings of a replaced process name the present group: see docs/operations/control.md.
-    for (const auto& [index, committed] : committed_) {
-        if (!upkeep_ && committed.first.kind == entry_kind::configuration)
-            it.known = committed.first.configuration.members;
+    } else {
+        // The settings of a replaced process name the present group: see docs/operations/control.md.
+        for (const auto& [index, committed] : committed_) {
+            if (committed.first.kind == entry_kind::configuration)
+                it.known = committed.first.configuration.members;
+        }
     }
     it.disk = core::incarnation(next_disk_++);
     ++wipes_;
@@ -311,10 +309,7 @@
 void simulated_group::remove_silent(core::control_id leader)
 {
     auto& node = *members_.at(leader).node;
-    std::vector<member_view> views;
-    for (const auto& it : node.configuration().members)
-        views.push_back({it, node.silence_of(it.id, now_)});
-    const auto removed = member_to_remove(views, *upkeep_);
+    const auto removed = member_to_remove(view_members(node, now_), *upkeep_);
     if (!removed)
         return;
     auto made = node.remove_member(*removed, now_);
@@ -330,12 +325,9 @@
     if (asked == joining || !it.node || is_frozen(asked) || cut_.contains(asked) || cut_.contains(joining)
         || chance(rates_.loss) || !it.node->leads(now_) || !it.node->is_current())
         return;
-    std::vector<member_view> views;
-    for (const auto& known : it.node->configuration().members)
-        views.push_back({known, it.node->silence_of(known.id, now_)});
     auto self = member_with(joining);
     self.disk = members_.at(joining).disk;
-    if (may_join(views, self, *upkeep_))
+    if (may_join(view_members(*it.node, now_), self, *upkeep_))
         carry_out(asked, it.node->add_member(self, now_).result);
 }
 
--- a/libraries/ibisdyke/transport/http2_callbacks.h
+++ b/libraries/ibisdyke/transport/http2_callbacks.h
@@ -14,8 +14,6 @@
 /// The functions that nghttp2 calls. They must not throw: exceptions cannot pass through its C code.
 class http2_callbacks {
 public:
-    static http2_connection& connection(void* user_data);
-    static http2_stream_state* find(http2_connection& it, std::int32_t id);
     static int begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* user_data);
     static int header(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_size,
         const std::uint8_t* value, std::size_t value_size, std::uint8_t, void* user_data);
@@ -29,6 +27,8 @@
         nghttp2_data_source*, void* user_data);
 
 private:
+    static http2_connection& connection(void* user_data);
+    static http2_stream_state* find(http2_connection& it, std::int32_t id);
     static void headers_complete(http2_connection& self, const nghttp2_frame* frame, end_of_stream end);
     static bool is_interim(const header_list& headers);
     static void deliver_data(http2_connection& self, std::int32_t id, std::string_view bytes, end_of_stream end);
