dissemination: Deliver large changes to a large fleet in time

Subscribers leave a source that has not delivered a version within 100 ms of seeing it elsewhere. With 0.075 of a core and about 100 KB a subscriber a control process takes longer, so all 190 subscribers left at once, opened subscriptions that they gave up after 60 ms (some 900 a second), and asked up to six control processes for a leader in each heartbeat period. The control processes could serve none of them, lost their leader and needed 9 s.

Ruled out: the bandwidth of relays (relays had two subscribers on average) and the time to accept the change (363 ms).

Change: - Deltas of more than 1 KB are compressed for subscribers that say that they read them; 1,640 routes take less than 12 bytes each.

--- a/libraries/ibisdyke/dissemination/messages.h
+++ b/libraries/ibisdyke/dissemination/messages.h
@@ -23,6 +23,8 @@
     std::optional<core::endpoint> relay;
     /// Relays that recently failed to serve the subscriber, which is not redirected to them.
     std::vector<core::endpoint> avoid;
+    /// Whether the subscriber reads compressed deltas.
+    bool reads_compressed_deltas = false;
 
     friend bool operator==(const subscribe_request&, const subscribe_request&) = default;
 };
--- a/libraries/ibisdyke/dissemination/subscription_monitor.cpp
+++ b/libraries/ibisdyke/dissemination/subscription_monitor.cpp
@@ -4,13 +4,21 @@
 
 namespace ibisdyke::dissemination {
 
-core::milliseconds first_message_limit(const subscription_limits& limits, std::size_t failures)
+core::milliseconds first_message_limit(const subscription_limits& limits, std::size_t failures, bool has_state)
 {
     // Each of three control processes is tried twice before the time is doubled.
     constexpr std::size_t failures_per_doubling = 6;
     constexpr std::size_t max_doublings = 8;
     const auto doublings = std::min(failures / failures_per_doubling, max_doublings);
-    return std::min(limits.min_first_message * (std::int64_t{1} << doublings), limits.max_first_message);
+    const auto shortest = has_state ? limits.min_first_message_with_state : limits.min_first_message;
+    return std::min(shortest * (std::int64_t{1} << doublings), limits.max_first_message);
+}
+
+core::milliseconds delivery_limit(const subscription_limits& limits, std::size_t subscribers)
+{
+    constexpr core::milliseconds time_per_subscriber{2};
+    const auto total = limits.delivery_timeout + time_per_subscriber * static_cast<std::int64_t>(subscribers);
+    return std::min(total, limits.max_delivery_timeout);
 }
 
 void subscription_monitor::on_version(const core::version& version, core::time_point now)
--- a/libraries/ibisdyke/dissemination/subscription_monitor.h
+++ b/libraries/ibisdyke/dissemination/subscription_monitor.h
@@ -17,13 +17,18 @@
     core::milliseconds max_first_message{1000};
     /// Shortest wait for the first message, used after few failures; see first_message_limit().
     core::milliseconds min_first_message{60};
+    /// The same for a subscriber that has a state. It can work on for a while, and when many subscribers lose their
+    /// source at once, short waits keep a slow control process busy with subscriptions that are given up.
+    core::milliseconds min_first_message_with_state{500};
     /// A subscription without any message for this long is silent. Keep-alives are sent each second.
     core::milliseconds silence_timeout{1800};
     /// A subscription is current only if a control process in contact with the leader confirmed it within this time.
     core::milliseconds max_age{2000};
     /// Time in which the source must deliver a version that the subscriber has seen elsewhere. Packets often carry a
-    /// new version before the delta arrives.
+    /// new version before the delta arrives. This is the value for a small group; see delivery_limit().
     core::milliseconds delivery_timeout{100};
+    /// Longest time to deliver such a version. Less than the time until a source without messages is silent.
+    core::milliseconds max_delivery_timeout{1000};
     /// Time in which a source must reach the version that the subscriber has applied. A source may be older at first,
     /// for example while it catches up itself.
     core::milliseconds catch_up_timeout{1000};
@@ -48,9 +53,15 @@
 };
 
 /// Returns how long a subscriber waits for the first message of a subscription after `failures` failed subscriptions in
-/// a row. The wait is short at first: when processes start together, connections to those that are not ready yet hang.
-/// It grows with the failures, so that a slow source eventually has enough time to answer.
-core::milliseconds first_message_limit(const subscription_limits& limits, std::size_t failures);
+/// a row. The wait of a subscriber without a state is short at first: when processes start together, connections to
+/// those that are not ready yet hang. It grows with the failures, so that a slow source eventually has enough time to
+/// answer.
+core::milliseconds first_message_limit(const subscription_limits& limits, std::size_t failures, bool has_state);
+
+/// Returns the time in which a source must deliver a version that a subscriber has seen elsewhere, in a system with
+/// this many subscribers. A source takes longer for a large change the more subscribers it has. When they all leave it
+/// before it is done, they ask the others for the same change, which then take too long as well.
+core::milliseconds delivery_limit(const subscription_limits& limits, std::size_t subscribers);
 
 /// Determines the state of one subscription from the messages that arrive on it.
 class subscription_monitor {
--- a/libraries/ibisdyke/dissemination/tests/codec_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/codec_test.cpp
@@ -96,6 +96,47 @@
     CHECK(*std::get<system_state_snapshot>(snapshot) == full_state());
 }
 
+namespace {
+
+/// A change that adds `n` routes, as operators send them: names and addresses of one pattern.
+delta make_route_delta(std::uint16_t n)
+{
+    delta result;
+    result.from = {3, 10};
+    result.to = {3, 11};
+    for (std::uint16_t i = 0; i < n; ++i) {
+        configuration::route it;
+        it.name = "route-" + std::to_string(i * 7919 % 65'536);
+        it.address = {{0xc6120000U + i, 8443}, configuration::transport_protocol::tcp};
+        it.targets = {{core::service_id(7), 1}};
+        it.request_timeout = core::milliseconds(2000);
+        it.latency_target = core::milliseconds(400);
+        result.routes.push_back(it);
+    }
+    return result;
+}
+
+} // namespace
+
+// A relay sends each change to up to 12 subscribers. Where its link carries 2 Mbit/s, 1,640 routes in one change took
+// more than 5 s, and requests were handled by the old configuration all the while.
+TEST_CASE("a change of many routes takes less than 12 bytes for each route")
+{
+    const auto large = make_route_delta(1640);
+    const auto bytes = wire::encode(subscription_message(large), wire::delta_compression::large_deltas);
+    CHECK(bytes.size() < 12 * large.routes.size());
+    CHECK(std::get<delta>(wire::decode_subscription_message(bytes)) == large);
+    for (std::size_t n = 0; n < bytes.size(); n += 100)
+        CHECK_THROWS_AS(
+            wire::decode_subscription_message(std::string_view(bytes).substr(0, n)), core::malformed_message);
+    // Earlier versions read only deltas that are not compressed.
+    CHECK(wire::encode(subscription_message(large)).size() > bytes.size());
+    CHECK(std::get<delta>(wire::decode_subscription_message(wire::encode(subscription_message(large)))) == large);
+    const auto small = make_route_delta(2);
+    CHECK(wire::encode(subscription_message(small), wire::delta_compression::large_deltas)
+        == wire::encode(subscription_message(small)));
+}
+
 // A malformed message, from a peer of another version or a broken connection, must not be applied.
 TEST_CASE("malformed bytes and values out of range are rejected")
 {
--- a/libraries/ibisdyke/dissemination/tests/subscription_monitor_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/subscription_monitor_test.cpp
@@ -109,6 +109,30 @@
     CHECK(state() == subscription_state::behind);
 }
 
+// A subscriber without a state tries sources quickly, because some of them may not run yet. One with a state must leave
+// a busy control process time to answer: many subscribers that give up after 60 ms keep it busy for seconds.
+TEST_CASE("the wait for a first message grows with the failures and is longer with a state")
+{
+    const subscription_limits limits;
+    CHECK(first_message_limit(limits, 0, false) == 60ms);
+    CHECK(first_message_limit(limits, 5, false) == 60ms);
+    CHECK(first_message_limit(limits, 6, false) == 120ms);
+    CHECK(first_message_limit(limits, 1000, false) == limits.max_first_message);
+    CHECK(first_message_limit(limits, 0, true) == 500ms);
+    CHECK(first_message_limit(limits, 6, true) == limits.max_first_message);
+}
+
+// With 100 ms in a fleet of 190 subscribers, all of them left their sources at once after a change of 1,640 routes, and
+// the control processes could serve none of them for 9 s. A small group must still notice a paused source quickly.
+TEST_CASE("the time to deliver a version grows with the number of subscribers")
+{
+    const subscription_limits limits;
+    CHECK(delivery_limit(limits, 0) == 100ms);
+    CHECK(delivery_limit(limits, 20) <= 150ms);
+    CHECK(delivery_limit(limits, 190) >= 400ms);
+    CHECK(delivery_limit(limits, 100'000) == limits.max_delivery_timeout);
+}
+
 // A subscriber must not stay with a source whose version remains older than its own.
 TEST_CASE_METHOD(subscription_fixture, "a source with an older version has 1 s to catch up")
 {
--- a/libraries/ibisdyke/dissemination/wire/codec.cpp
+++ b/libraries/ibisdyke/dissemination/wire/codec.cpp
@@ -24,6 +24,9 @@
 using membership::wire::from_wire;
 using membership::wire::to_wire;
 
+/// Smaller deltas are sent as they are. A change of one upstream takes about 100 bytes and hardly gets smaller.
+constexpr std::size_t min_compressed_delta_bytes = 1024;
+
 /// Largest size of a decompressed state. The state of the design size takes 0.8 MB.
 constexpr std::uint32_t max_state_bytes = 64U * 1024 * 1024;
 
@@ -149,8 +152,9 @@
 {
     auto n = compressBound(state.size());
     std::string content(n, '\0');
-    if (::compress(
-            reinterpret_cast<Bytef*>(content.data()), &n, reinterpret_cast<const Bytef*>(state.data()), state.size())
+    // Processes of the control group and relays have a small part of a processor.
+    if (::compress2(reinterpret_cast<Bytef*>(content.data()), &n, reinterpret_cast<const Bytef*>(state.data()),
+            state.size(), Z_BEST_SPEED)
         != Z_OK)
         throw core::error("system state cannot be compressed");
     content.resize(n);
@@ -185,6 +189,15 @@
     delta_to_wire(value, *message.mutable_delta());
 }
 
+/// Replaces a large delta in the message by its compressed form.
+void compress_large_delta(FeedMessage& message)
+{
+    if (message.content_case() != FeedMessage::kDelta || message.delta().ByteSizeLong() < min_compressed_delta_bytes)
+        return;
+    auto compressed = compress(message.delta().SerializeAsString());
+    *message.mutable_compressed_delta() = std::move(compressed);
+}
+
 void content_to_wire(const keep_alive& value, FeedMessage& message)
 {
     to_wire(value.latest, *message.mutable_keep_alive()->mutable_latest());
@@ -231,6 +244,7 @@
         to_wire(*value.relay, *message.mutable_relay());
     for (const auto& it : value.avoid)
         to_wire(it, *message.add_avoid());
+    message.set_reads_compressed_deltas(value.reads_compressed_deltas);
     return message.SerializeAsString();
 }
 
@@ -244,13 +258,16 @@
         result.relay = from_wire(message.relay());
     for (const auto& it : message.avoid())
         result.avoid.push_back(from_wire(it));
+    result.reads_compressed_deltas = message.reads_compressed_deltas();
     return result;
 }
 
-std::string encode(const subscription_message& value)
+std::string encode(const subscription_message& value, delta_compression compression)
 {
     FeedMessage message;
     std::visit([&](const auto& it) { content_to_wire(it, message); }, value);
+    if (compression == delta_compression::large_deltas)
+        compress_large_delta(message);
     return message.SerializeAsString();
 }
 
@@ -264,6 +281,8 @@
         return std::make_shared<const system_state>(decode_system_state(decompress(message.compressed_snapshot())));
     case FeedMessage::kDelta:
         return delta_from_wire(message.delta());
+    case FeedMessage::kCompressedDelta:
+        return decode_delta(decompress(message.compressed_delta()));
     case FeedMessage::kKeepAlive:
         return keep_alive{from_wire(message.keep_alive().latest()), core::milliseconds(message.keep_alive().age_ms())};
     case FeedMessage::kRedirect:
--- a/libraries/ibisdyke/frontends/control/tests/heartbeat_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/heartbeat_test.cpp
@@ -227,6 +227,22 @@
     }));
 }
 
+// While there is no leader, each control process answers at once that it knows none. Senders that ask all of them in
+// each period would take the processor time that the election needs.
+TEST_CASE_METHOD(heartbeat_fixture, "a sender asks at most two control processes in a period while there is no leader")
+{
+    for (int i = 0; i < 5; ++i) {
+        auto& it = add_control();
+        it.group.is_leader_ = false;
+        it.group.leader_.reset();
+    }
+    const auto sender = start_sender(addresses());
+    constexpr int periods = 4;
+    run_for(static_cast<int>(periods * heartbeat_sender::period.count()));
+    CHECK(answers_ >= periods);
+    CHECK(answers_ <= 2 * (periods + 1));
+}
+
 // A follower must not accept senders that no leader has accepted. Two followers that take each other for the leader
 // must not forward a batch, or the heartbeat of a follower of an earlier version, back and forth.
 TEST_CASE_METHOD(heartbeat_fixture, "a follower refuses the batches and heartbeats that another follower forwards")
--- a/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
@@ -142,6 +142,28 @@
     CHECK(std::holds_alternative<dissemination::keep_alive>(returned.messages_[1]));
 }
 
+// After a large change, all subscribers of a fleet may come back at once with the same version. The control process
+// must not merge and encode the same delta for each of them.
+TEST_CASE_METHOD(subscription_fixture, "subscribers that return with the same version get a delta that is encoded once")
+{
+    auto& control = add_control();
+    for (std::uint64_t i = 1; i <= 300; ++i)
+        commit_profile(i);
+    std::vector<std::unique_ptr<raw_subscriber>> returned;
+    for (int i = 0; i < 10; ++i)
+        returned.push_back(std::make_unique<raw_subscriber>(control.address(), core::version{1, 100}));
+    for (const auto& it : returned) {
+        REQUIRE(wait_for([&] { return it->messages_.size() >= 2; }));
+        CHECK(it->messages_.front() == returned.front()->messages_.front());
+    }
+    CHECK(control.count("subscriptions_served_delta") == 10);
+    CHECK(control.count("subscription_deltas_encoded") == 1);
+    commit_profile(301);
+    raw_subscriber later(control.address(), {1, 100});
+    REQUIRE(wait_for([&] { return later.messages_.size() >= 2; }));
+    CHECK(std::get<dissemination::delta>(later.messages_.front()).to == core::version{1, 401});
+}
+
 // A subscriber must catch up even if the deltas that it needs were dropped.
 TEST_CASE_METHOD(subscription_fixture, "a subscriber that returns after 10,000 changes gets a snapshot")
 {
--- a/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
@@ -14,6 +14,14 @@
 
 namespace ibisdyke::frontends {
 
+namespace {
+
+/// Heartbeats sent again in one period because a control process knew no leader. With four of nine control processes
+/// cut off, a sender reaches one of the others within three periods, before its lease ends.
+constexpr std::size_t max_resends_without_leader = 1;
+
+} // namespace
+
 heartbeat_sender::heartbeat_sender(const std::vector<core::endpoint>& controls, std::uint32_t source_address,
     observability::counter_sink& counters, transport::traffic_meter* meter, heartbeat_callback create_heartbeat,
     answer_callback on_answer, QObject* parent)
@@ -68,6 +76,7 @@
 void heartbeat_sender::on_tick()
 {
     resends_left_ = clients_.size() - 1;
+    resends_without_leader_left_ = max_resends_without_leader;
     send_now();
 }
 
@@ -96,7 +105,7 @@
         if (!std::exchange(control_responds_, true))
             observability::write_log(observability::log_level::info, "control_found", {{"control", to_string(peer)}});
         if (answer.result == membership::heartbeat_result::no_leader)
-            fail_over(peer);
+            fail_over_without_leader(peer);
         on_answer_(answer);
     } catch (const core::malformed_message& e) {
         observability::note_malformed(counters_, "heartbeat_answers_malformed", e);
@@ -104,6 +113,17 @@
     }
 }
 
+/// Without a leader, the other control processes usually know none either, and they need their processor time for the
+/// election. Only a few are asked in each period, in case that the one in use is cut off.
+void heartbeat_sender::fail_over_without_leader(const core::endpoint& failed)
+{
+    if (resends_without_leader_left_ == 0)
+        resends_left_ = 0;
+    else
+        --resends_without_leader_left_;
+    fail_over(failed);
+}
+
 void heartbeat_sender::fail_over(const core::endpoint& failed)
 {
     // Several calls to the same process can fail together; only the first failure switches to the next process.
--- a/libraries/ibisdyke/frontends/discovery/heartbeat_sender.h
+++ b/libraries/ibisdyke/frontends/discovery/heartbeat_sender.h
@@ -61,6 +61,7 @@
     void on_tick();
     void on_result(const core::endpoint& peer, const transport::rpc_result& result);
     void fail_over(const core::endpoint& failed);
+    void fail_over_without_leader(const core::endpoint& failed);
 
     std::uint32_t source_address_;
     observability::counter_sink& counters_;
@@ -71,6 +72,8 @@
     std::size_t current_client_ = 0;
     /// Number of resends allowed until the next period. The bound prevents a busy loop when ports are closed.
     std::size_t resends_left_ = 0;
+    /// Resends left in this period to processes that know no leader.
+    std::size_t resends_without_leader_left_ = 0;
     /// Whether the control process in use has answered since the last failover.
     bool control_responds_ = false;
     /// Starts at the wall-clock time in ms, so that a restarted process sends higher numbers than the process before
--- a/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
@@ -107,10 +107,11 @@
     const auto now = transport::read_clock();
     subscribed_at_ = now;
     auto limits = settings_.limits;
-    limits.max_first_message = dissemination::first_message_limit(limits, consecutive_failures_);
+    limits.max_first_message = dissemination::first_message_limit(limits, consecutive_failures_, state_ != nullptr);
+    limits.delivery_timeout = random_delivery_limit();
     subscription_ = std::make_shared<subscription>(source, settings_.source_address, meter_, limits, now, this);
     const dissemination::subscribe_request request{
-        applied_version(), settings_.name, settings_.relay, sources_.avoided(now)};
+        applied_version(), settings_.name, settings_.relay, sources_.avoided(now), /*reads_compressed_deltas=*/true};
     const std::weak_ptr<subscription> opened = subscription_;
     const QPointer<state_subscriber> self(this);
     subscription_->stream = transport::rpc_subscription::create(
@@ -127,6 +128,15 @@
         });
 }
 
+/// Returns a random time between the delivery limit and its double. All subscribers see a new version at the same time,
+/// and they must not all leave a slow source at the same time.
+core::milliseconds state_subscriber::random_delivery_limit() const
+{
+    const auto subscribers = state_ ? state_->membership.upstreams.size() + state_->membership.relays.size() : 0;
+    const auto limit = dissemination::delivery_limit(settings_.limits, subscribers);
+    return limit + core::milliseconds(QRandomGenerator::global()->bounded(static_cast<int>(limit.count()) + 1));
+}
+
 void state_subscriber::close_subscription()
 {
     const auto closed = std::exchange(subscription_, nullptr);
--- a/libraries/ibisdyke/frontends/discovery/state_subscriber.h
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.h
@@ -101,6 +101,7 @@
     core::version applied_version() const { return state_ ? state_->applied : core::version{}; }
     void subscribe_to_next_source();
     void subscribe(const core::endpoint& source);
+    core::milliseconds random_delivery_limit() const;
     void close_subscription();
     void schedule_resubscribe();
     void record_failure();
--- a/libraries/ibisdyke/frontends/discovery/subscription_server.cpp
+++ b/libraries/ibisdyke/frontends/discovery/subscription_server.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+using dissemination::wire::delta_compression;
+
+delta_compression compression_for(const dissemination::subscribe_request& request)
+{
+    return request.reads_compressed_deltas ? delta_compression::large_deltas : delta_compression::none;
+}
+
 constexpr core::milliseconds keep_alive_period{1000};
 
 /// How often the leader contact is checked. When it is lost or regained, subscribers get a keep-alive immediately.
@@ -25,6 +32,9 @@
 /// A state with a leader contact of at least this age is not current; see dissemination::subscription_limits::max_age.
 constexpr core::milliseconds max_age{2000};
 
+/// Limits the memory of the encoded deltas that are kept for further subscribers.
+constexpr std::size_t max_encoded_deltas = 16;
+
 /// A subscriber with more unread bytes than this is dropped. It can subscribe again and gets one merged delta.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} * 1024 * 1024;
 
@@ -48,10 +58,11 @@
 {
     const bool is_first = history_.latest() == nullptr;
     const auto change = history_.push(state);
+    encoded_deltas_.clear();
     if (change)
-        broadcast(dissemination::wire::encode(dissemination::subscription_message(*change)));
+        broadcast(*change);
     else if (is_first && history_.latest())
-        broadcast(dissemination::wire::encode(dissemination::subscription_message(history_.latest())));
+        broadcast(history_.latest());
 }
 
 void subscription_server::on_subscribe(
@@ -89,7 +100,8 @@
     }
     counters_.add("subscriptions_accepted", 1);
     const auto id = next_id_++;
-    subscribers_.emplace(id, subscription{{id, request.relay, 0, 0}, request.name, publisher});
+    subscribers_.emplace(
+        id, subscription{{id, request.relay, 0, 0}, request.name, compression_for(request), publisher});
     send_initial_state(request, *publisher);
 }
 
@@ -100,9 +112,10 @@
     if (latest && request.applied < latest->applied) {
         // A subscriber without a state cannot apply any delta, not even one that starts at the first version.
         const bool has_state = request.applied != core::version{};
-        if (const auto change = has_state ? history_.since(request.applied) : std::nullopt) {
+        const auto* const change = has_state ? find_encoded_delta(request.applied, compression_for(request)) : nullptr;
+        if (change != nullptr) {
             counters_.add("subscriptions_served_delta", 1);
-            send(publisher, dissemination::wire::encode(dissemination::subscription_message(*change)));
+            send(publisher, *change);
         } else {
             if (encoded_snapshot_version_ != latest->applied) {
                 encoded_snapshot_ = dissemination::wire::encode(dissemination::subscription_message(latest));
@@ -115,6 +128,25 @@
     send(publisher, dissemination::wire::encode(dissemination::subscription_message(make_keep_alive())));
 }
 
+/// Returns the encoded delta from `from` to the latest state, or null if no kept delta begins there. When many
+/// subscribers come at the same time, most of them have the same version, and the delta is merged and encoded only
+/// once.
+const std::string* subscription_server::find_encoded_delta(const core::version& from, delta_compression compression)
+{
+    const auto known = encoded_deltas_.find({from, compression});
+    if (known != encoded_deltas_.end())
+        return &known->second;
+    const auto change = history_.since(from);
+    if (!change)
+        return nullptr;
+    if (encoded_deltas_.size() >= max_encoded_deltas)
+        encoded_deltas_.clear();
+    const auto [it, is_new] =
+        encoded_deltas_.insert_or_assign({from, compression}, dissemination::wire::encode(*change, compression));
+    counters_.add("subscription_deltas_encoded", 1);
+    return &it->second;
+}
+
 void subscription_server::redirect(transport::rpc_publisher& publisher, const core::endpoint& target)
 {
     counters_.add("subscribers_redirected", 1);
@@ -128,11 +160,17 @@
     publisher.publish(message);
 }
 
-void subscription_server::broadcast(const std::string& message)
+void subscription_server::broadcast(const dissemination::subscription_message& message)
 {
     remove_closed_subscribers();
-    for (const auto& [id, it] : subscribers_)
-        send(*it.publisher, message);
+    // Encoded once for all subscribers that read the same form.
+    std::map<delta_compression, std::string> encoded;
+    for (const auto& [id, it] : subscribers_) {
+        auto& bytes = encoded[it.compression];
+        if (bytes.empty())
+            bytes = dissemination::wire::encode(message, it.compression);
+        send(*it.publisher, bytes);
+    }
 }
 
 void subscription_server::remove_closed_subscribers()
@@ -168,7 +206,7 @@
 {
     keep_alive_sent_at_ = transport::read_clock();
     had_leader_contact_ = has_leader_contact();
-    broadcast(dissemination::wire::encode(dissemination::subscription_message(make_keep_alive())));
+    broadcast(make_keep_alive());
 }
 
 void subscription_server::on_tick()
--- a/libraries/ibisdyke/frontends/discovery/subscription_server.h
+++ b/libraries/ibisdyke/frontends/discovery/subscription_server.h
@@ -5,6 +5,7 @@
 #include "ibisdyke/dissemination/messages.h"
 #include "ibisdyke/dissemination/relay_assignment.h"
 #include "ibisdyke/dissemination/system_state.h"
+#include "ibisdyke/dissemination/wire/codec.h"
 #include "ibisdyke/observability/counter_sink.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/transport/rpc_router.h"
@@ -18,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace ibisdyke::frontends {
 
@@ -62,6 +64,7 @@
     struct subscription {
         dissemination::subscriber info;
         std::string name;
+        dissemination::wire::delta_compression compression = dissemination::wire::delta_compression::none;
         std::shared_ptr<transport::rpc_publisher> publisher;
     };
 
@@ -69,9 +72,11 @@
     void handle_request(
         const dissemination::subscribe_request& request, const std::shared_ptr<transport::rpc_publisher>& publisher);
     void send_initial_state(const dissemination::subscribe_request& request, transport::rpc_publisher& publisher);
+    const std::string* find_encoded_delta(
+        const core::version& from, dissemination::wire::delta_compression compression);
     void redirect(transport::rpc_publisher& publisher, const core::endpoint& target);
     void send(transport::rpc_publisher& publisher, const std::string& message);
-    void broadcast(const std::string& message);
+    void broadcast(const dissemination::subscription_message& message);
     void remove_closed_subscribers();
     void on_tick();
     dissemination::keep_alive make_keep_alive() const;
@@ -86,6 +91,8 @@
     /// The latest snapshot that was sent, encoded. Reused for subscribers that arrive at the same time.
     std::string encoded_snapshot_;
     core::version encoded_snapshot_version_;
+    /// Deltas to the latest version that were sent to new subscribers, encoded, by the version at which they begin.
+    std::map<std::pair<core::version, dissemination::wire::delta_compression>, std::string> encoded_deltas_;
     core::time_point keep_alive_sent_at_;
     /// Whether there was leader contact when the last keep-alive was sent.
     bool had_leader_contact_ = false;
