control: Keep the storage usable whichever call a full disk refuses

Cause: only a refused write() counted as a full disk. When fdatasync(), ftruncate(), rename() or the sync of the folder reported a full disk, the storage counted as failed for good, and the process ended.

Ruled out: treating any failed sync as harmless. After a failed write-back the page cache shows bytes that are not on the disk, and a later sync succeeds.

Change: file_operations is the interface to the calls that change the folder. After a refused append whose remains could not be removed, or a failed sync, the next write first copies the durable records to a new log file. A rename whose folder sync was refused is synced before the next write. A new log file is appended to through the descriptor that wrote it. Other errors than a full disk still end the use of the storage.

--- a/libraries/ibisdyke/frontends/control/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/control/file_log_storage.cpp
@@ -26,7 +26,6 @@
 constexpr std::size_t header_bytes = 12;
 constexpr std::size_t sector_bytes = 512;
 constexpr std::string_view log_magic = "ibislog1";
-constexpr mode_t file_mode = 0600;
 constexpr const char* identity_name = "identity";
 constexpr const char* log_name = "log";
 constexpr const char* snapshot_name = "snapshot";
@@ -38,20 +37,13 @@
     return action + " " + file.string() + ": " + std::strerror(errno);
 }
 
-/// Throws core::system_failure whatever errno is, also for a full disk. For calls that leave the file in an unknown
-/// state when they fail.
-[[noreturn]] void throw_system_failure(const std::string& action, const std::filesystem::path& file)
-{
-    throw core::system_failure(describe_error(action, file));
-}
-
 /// Throws core::storage_full when errno says that the disk is full, otherwise core::system_failure.
 [[noreturn]] void throw_storage_error(const std::string& action, const std::filesystem::path& file)
 {
     // EFBIG means that the file size limit was reached, which is handled as a full disk.
     if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
         throw core::storage_full(describe_error(action, file));
-    throw_system_failure(action, file);
+    throw core::system_failure(describe_error(action, file));
 }
 
 std::uint32_t checksum(std::string_view bytes)
@@ -153,10 +145,10 @@
     return result;
 }
 
-void write_all(int descriptor, std::string_view bytes, const std::filesystem::path& file)
+void write_all(file_operations& files, int descriptor, std::string_view bytes, const std::filesystem::path& file)
 {
     while (!bytes.empty()) {
-        const auto n = ::write(descriptor, bytes.data(), bytes.size());
+        const auto n = files.write(descriptor, bytes.data(), bytes.size());
         if (n < 0 && errno == EINTR)
             continue;
         if (n < 0)
@@ -165,11 +157,10 @@
     }
 }
 
-void sync(int descriptor, const std::filesystem::path& file)
+void sync(file_operations& files, int descriptor, const std::filesystem::path& file)
 {
-    // After a failed sync, whatever its cause, the content of the disk is unknown.
-    if (::fdatasync(descriptor) != 0)
-        throw_system_failure("cannot sync", file);
+    if (files.fdatasync(descriptor) != 0)
+        throw_storage_error("cannot sync", file);
 }
 
 /// Returns the payload of a file that must contain exactly one valid record.
@@ -183,13 +174,16 @@
 
 } // namespace
 
-std::unique_ptr<file_log_storage> file_log_storage::create(const std::filesystem::path& folder)
+std::unique_ptr<file_log_storage> file_log_storage::create(
+    const std::filesystem::path& folder, std::unique_ptr<file_operations> files)
 {
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
-    if (ec)
-        throw core::system_failure("cannot create " + folder.string() + ": " + ec.message());
-    std::unique_ptr<file_log_storage> result(new file_log_storage(folder));
+    if (ec) {
+        errno = ec.value();
+        throw_storage_error("cannot create", folder);
+    }
+    std::unique_ptr<file_log_storage> result(new file_log_storage(folder, std::move(files)));
     result->lock();
     result->load_or_create_identity();
     result->initial_state_ = result->read_state();
@@ -197,8 +191,9 @@
     return result;
 }
 
-file_log_storage::file_log_storage(std::filesystem::path folder)
+file_log_storage::file_log_storage(std::filesystem::path folder, std::unique_ptr<file_operations> files)
     : folder_(std::move(folder))
+    , files_(std::move(files))
 {
 }
 
@@ -212,7 +207,7 @@
 
 void file_log_storage::lock()
 {
-    lock_file_ = ::open(path(lock_name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
+    lock_file_ = files_->open(path(lock_name), O_RDWR);
     if (lock_file_ < 0)
         throw_storage_error("cannot open", path(lock_name));
     if (::flock(lock_file_, LOCK_EX | LOCK_NB) != 0)
@@ -306,6 +301,7 @@
     if (batch.ballot)
         ballot_ = *batch.ballot;
     try {
+        repair_after_full_disk();
         if (batch.base) {
             replace_file(snapshot_name, frame(replication::wire::encode(*batch.base)));
             write_log({ballot_, nullptr, batch.entries, batch.commit_index});
@@ -324,66 +320,85 @@
 void file_log_storage::append(const replication::write_batch& batch)
 {
     const auto bytes = frame(replication::wire::encode(batch));
+    log_has_remains_ = true;
     try {
-        write_all(log_file_, bytes, path(log_name));
+        write_all(*files_, log_file_, bytes, path(log_name));
     } catch (const core::storage_full&) {
-        truncate_log();
+        log_has_remains_ = files_->ftruncate(log_file_, log_bytes_) != 0;
         throw;
     }
-    sync(log_file_, path(log_name));
+    sync(*files_, log_file_, path(log_name));
     log_bytes_ += bytes.size();
+    log_has_remains_ = false;
 }
 
-/// Removes an incompletely written record, so that the next record does not follow it.
-void file_log_storage::truncate_log()
+/// Brings the folder back into a state in which a record can be appended. After a sync that failed, the page cache may
+/// show a record as written that is not on the disk, and a later sync would not report that. The durable records are
+/// therefore copied to a new file.
+void file_log_storage::repair_after_full_disk()
 {
-    if (::ftruncate(log_file_, static_cast<off_t>(log_bytes_)) != 0)
-        throw_system_failure("cannot truncate", path(log_name));
+    if (folder_needs_sync_)
+        sync_folder();
+    if (!log_has_remains_)
+        return;
+    auto bytes = read_file(path(log_name));
+    if (!bytes || bytes->size() < log_bytes_)
+        throw core::system_failure(path(log_name).string() + " is shorter than its durable records");
+    bytes->resize(log_bytes_);
+    replace_log(*bytes);
 }
 
 void file_log_storage::write_log(const replication::write_batch& content)
 {
-    const auto bytes = std::string(log_magic) + frame(replication::wire::encode(content));
-    replace_file(log_name, bytes);
-    log_bytes_ = bytes.size();
+    replace_log(std::string(log_magic) + frame(replication::wire::encode(content)));
+}
+
+/// Replaces the log file, and appends to the new file from now on.
+void file_log_storage::replace_log(std::string_view content)
+{
+    const int descriptor = write_new_file(log_name, content);
     if (log_file_ >= 0)
         ::close(log_file_);
-    log_file_ = ::open(path(log_name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (log_file_ < 0)
-        throw_system_failure("cannot open", path(log_name));
+    log_file_ = descriptor;
+    log_bytes_ = content.size();
+    log_has_remains_ = false;
+    sync_folder();
+}
+
+void file_log_storage::replace_file(const std::string& name, std::string_view content)
+{
+    ::close(write_new_file(name, content));
+    sync_folder();
 }
 
-void file_log_storage::replace_file(const std::string& name, std::string_view content) const
+/// Writes and syncs a file and gives it its name, which is durable after sync_folder(). Returns a descriptor that
+/// appends to the file.
+int file_log_storage::write_new_file(const std::string& name, std::string_view content)
 {
     const auto temporary = path(name + ".new");
-    const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    const int descriptor = files_->open(temporary, O_WRONLY | O_APPEND | O_TRUNC);
     if (descriptor < 0)
         throw_storage_error("cannot open", temporary);
     try {
-        write_all(descriptor, content, temporary);
-        sync(descriptor, temporary);
+        write_all(*files_, descriptor, content, temporary);
+        sync(*files_, descriptor, temporary);
+        if (files_->rename(temporary, path(name)) != 0)
+            throw_storage_error("cannot rename", temporary);
     } catch (...) {
         ::close(descriptor);
-        ::unlink(temporary.c_str());
+        // A file that cannot be removed is overwritten by the next attempt.
+        static_cast<void>(files_->unlink(temporary));
         throw;
     }
-    ::close(descriptor);
-    if (::rename(temporary.c_str(), path(name).c_str()) != 0)
-        throw_storage_error("cannot rename", temporary);
-    sync_folder();
+    folder_needs_sync_ = true;
+    return descriptor;
 }
 
-void file_log_storage::sync_folder() const
+void file_log_storage::sync_folder()
 {
-    const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (descriptor < 0)
-        throw_system_failure("cannot open", folder_);
-    const int result = ::fsync(descriptor);
-    const auto saved_errno = errno;
-    ::close(descriptor);
-    errno = saved_errno;
-    if (result != 0)
-        throw_system_failure("cannot sync", folder_);
+    if (files_->sync_folder(folder_) != 0)
+        throw_storage_error("cannot sync", folder_);
+    folder_needs_sync_ = false;
 }
 
 } // namespace ibisdyke::frontends
