platform: Refuse numbers that do not fit in status reports and plans

Ruled out: deep nesting, numbers beyond a double, cut UTF-8 and bodies of 1 MB; the JSON parser refuses them or the field checks do.

--- a/libraries/ibisdyke/configuration/wire/object_reader.h
+++ b/libraries/ibisdyke/configuration/wire/object_reader.h
@@ -8,8 +8,6 @@
 #include <QJsonObject>
 #include <QString>
 
-#include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <set>
@@ -96,11 +94,12 @@
         if (!object_.contains(name))
             return;
         const auto value = read_value(name);
-        // A double cannot represent every whole number above 2^53.
-        constexpr double max_exact = 9007199254740992.0;
-        const double max = std::min(max_exact, static_cast<double>(std::numeric_limits<Integer>::max()));
-        const double number = value.toDouble(-1);
-        if (!value.isDouble() || number < 0 || number > max || std::trunc(number) != number)
+        // Other writers keep numbers as doubles, which cannot represent every whole number above 2^53. toInteger()
+        // returns what the document states; toDouble() could round it to a number that is in range.
+        constexpr qint64 max_exact = qint64{1} << 53;
+        constexpr auto max_value = static_cast<std::uint64_t>(std::numeric_limits<Integer>::max());
+        const auto number = value.isDouble() ? value.toInteger(-1) : -1;
+        if (number < 0 || number > max_exact || static_cast<std::uint64_t>(number) > max_value)
             fail(name, value, "a whole number of at least 0");
         out = static_cast<Integer>(number);
     }
