packets: Drop the backlog of a pause, handle what a stop finds

On a planned stop, the packet threads ended without reading what their sockets held, so requests that had just arrived were lost. A failing upstream showed as a queue of 1,000,000 thousandths in logs.

Change: - backlog_monitor notices that a packet thread has stood still, by a clock that counts suspensions, and names the SYNs of its backlog outdated if the caller has sent them again or given up meanwhile. How long a caller waits comes with the packet format; formats that do not know it are not affected. Packets of open flows always go on. Stalls and drops are logged and counted. - After stop(), the packet threads handle what had arrived, up to 64 batches. - upstream_load has a field for a failing upstream, also in headers and logs.

--- a/libraries/ibisdyke/frontends/packets/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -67,7 +67,8 @@
             {"phase", to_string(it.header.phase)}, {"hops", it.header.hops}, {"balancer", to_string(it.header.sender)},
             {"table", to_string(it.header.table)}, {"applied", to_string(it.agent.applied)},
             {"accepts", admission.accepts_new_flows}, {"flows_per_s", admission.new_flows_per_second},
-            {"waiting_per_mille", it.load.queue_per_mille}, {"open_flows", it.load.open_flows}});
+            {"waiting_per_mille", it.load.queue_per_mille}, {"open_flows", it.load.open_flows},
+            {"failing", it.load.failing}});
 }
 
 void log_returned(const routing::packet_info& packet, const routing::agent_snapshot& agent)
@@ -91,4 +92,20 @@
             {"reason", reason_name(address)}, {"table", to_string(version)}});
 }
 
+void log_outdated(const routing::packet_info& packet, const core::version& version)
+{
+    constexpr std::string_view event = "packet_dropped";
+    if (!observability::claim_line(event))
+        return;
+    observability::write_claimed_line(log_level::warning, event,
+        {{"flow", flow_id(packet.flow)}, {"seq", packet.sequence}, {"copies", packet.syn_retransmissions},
+            {"reason", to_string(routing::packet_reason::outdated)}, {"table", to_string(version)}});
+}
+
+void log_stall(std::string_view name, core::milliseconds length)
+{
+    observability::write_log(
+        log_level::warning, "packet_thread_stalled", {{"thread", name}, {"stalled_ms", length.count()}});
+}
+
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/packets/flow_log.h
+++ b/libraries/ibisdyke/frontends/packets/flow_log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ibisdyke/core/time.h"
+#include "ibisdyke/core/version.h"
 #include "ibisdyke/routing/agent_snapshot.h"
 #include "ibisdyke/routing/messages.h"
 #include "ibisdyke/routing/packet_decision.h"
@@ -7,6 +9,7 @@
 #include "ibisdyke/routing/router.h"
 
 #include <string>
+#include <string_view>
 
 namespace ibisdyke::frontends {
 
@@ -34,4 +37,10 @@
 void log_unrouted(
     const routing::packet_info& packet, routing::address_state address, bool rejected, const core::version& version);
 
+/// Logs that a balancer drops a SYN which has waited while the balancer stood still.
+void log_outdated(const routing::packet_info& packet, const core::version& version);
+
+/// Logs that the packet thread `name` has stood still.
+void log_stall(std::string_view name, core::milliseconds length);
+
 } // namespace ibisdyke::frontends
--- a/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
@@ -17,8 +17,12 @@
 
 constexpr std::size_t batch_size = 64;
 
-/// How often the thread wakes up without packets, so that it releases an old table.
-constexpr core::milliseconds idle_wait{1'000};
+/// How often the thread wakes up without packets, so that it releases an old table and notices when it has stood still.
+constexpr core::milliseconds idle_wait{200};
+
+/// After stop(), the thread reads at most this many batches. They hold more packets than the buffer of a socket, so
+/// that a stop ends under load and forwards what had arrived.
+constexpr std::size_t max_batches_after_stop = 64;
 
 /// Limits the rejects of packets without a route. A flood with forged source addresses could otherwise use the balancer
 /// as a reflector.
@@ -55,6 +59,8 @@
     , unsupported_(counters.find("forwarder_dropped_unsupported"))
     , send_failures_(counters.find("forwarder_send_failures"))
     , notices_(counters.find("forwarder_version_notices"))
+    , outdated_(counters.find("forwarder_dropped_outdated"))
+    , stalls_(counters.find("forwarder_stalls"))
     , batch_(batch_size)
     , reject_limiter_(rejects_per_second, rejects_per_second)
 {
@@ -97,12 +103,23 @@
 {
     while (!stopping_.load()) {
         socket_->wait(idle_wait);
+        record_progress(transport::read_clock(), idle_wait);
         use_latest_table();
-        while (!stopping_.load() && socket_->receive(batch_) > 0) {
-            use_latest_table();
+        while (!stopping_.load() && socket_->receive(batch_) > 0)
             handle_batch(transport::read_clock());
-        }
+        backlog_.record_drained();
     }
+    for (std::size_t n = 0; n < max_batches_after_stop && socket_->receive(batch_) > 0; ++n)
+        handle_batch(transport::read_clock());
+}
+
+void packet_forwarder::record_progress(core::time_point now, core::milliseconds max_wait)
+{
+    const auto stalled = backlog_.record_progress(now, max_wait);
+    if (!stalled)
+        return;
+    stalls_.add(1);
+    log_stall(name_, *stalled);
 }
 
 void packet_forwarder::use_latest_table()
@@ -117,6 +134,8 @@
 
 void packet_forwarder::handle_batch(core::time_point now)
 {
+    record_progress(now, core::milliseconds{0});
+    use_latest_table();
     outgoing_.clear();
     generated_.clear();
     packets_.clear();
@@ -195,6 +214,10 @@
     const auto parsed = format_->parse(packet);
     switch (parsed.status) {
     case parse_status::parsed:
+        if (backlog_.is_outdated(parsed.info)) {
+            log_outdated(parsed.info, table_->table->chains->at());
+            return outdated_.add(1);
+        }
         packets_.emplace_back(i, parsed.info);
         return;
     case parse_status::malformed:
@@ -225,15 +248,19 @@
     outgoing_.push_back({batch_.prepend(i, 0, {length, encoded_origin_, chain, phase, asked}), route.destination});
 }
 
-/// A caller retransmits its SYN when it has received no answer, so the agents of its chain may be unreachable.
+/// A caller retransmits its SYN when it has received no answer, so the agents of its chain may be unreachable. Reports
+/// the candidates, with those that the packet avoids.
 void packet_forwarder::report_retransmitted_syn(const routing::route& route, core::time_point now)
 {
     if (!callbacks_.on_retransmitted_syn || now - last_retransmitted_syn_report_ < retransmitted_syn_interval)
         return;
     last_retransmitted_syn_report_ = now;
-    const auto& members = route.members->members;
-    std::vector<routing::chain_member> candidates(
-        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(route.members->candidates));
+    std::vector<routing::chain_member> candidates;
+    for (std::size_t i = 0; i < route.members->members.size(); ++i) {
+        const bool avoided = (route.asked >> i & 1U) != 0;
+        if (i < route.members->candidates || avoided)
+            candidates.push_back(route.members->members[i]);
+    }
     QMetaObject::invokeMethod(
         &control_, [callback = callbacks_.on_retransmitted_syn, it = std::move(candidates)] { callback(it); },
         Qt::QueuedConnection);
--- a/libraries/ibisdyke/frontends/packets/packet_forwarder.h
+++ b/libraries/ibisdyke/frontends/packets/packet_forwarder.h
@@ -8,6 +8,7 @@
 #include "ibisdyke/frontends/packets/packet_format.h"
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/state_reporter.h"
+#include "ibisdyke/routing/backlog_monitor.h"
 #include "ibisdyke/routing/rate_limiter.h"
 #include "ibisdyke/routing/router.h"
 #include "ibisdyke/transport/datagram_socket.h"
@@ -74,7 +75,7 @@
 
     void start();
 
-    /// Returns after the thread has ended. Packets that were received by the socket but not read are lost.
+    /// Returns after the thread has ended. Packets that have arrived by then are still forwarded.
     void stop();
 
     /// Returns the endpoint that receives packets from the fabric.
@@ -86,6 +87,7 @@
 private:
     void run();
     void use_latest_table();
+    void record_progress(core::time_point now, core::milliseconds max_wait);
     void handle_batch(core::time_point now);
     void read_datagram(std::size_t i, core::time_point now);
     void read_packet(std::size_t i, std::string_view packet);
@@ -114,11 +116,14 @@
     observability::counter& unsupported_;
     observability::counter& send_failures_;
     observability::counter& notices_;
+    observability::counter& outdated_;
+    observability::counter& stalls_;
 
     // The members from here to generated_ are used by the packet thread only.
     std::shared_ptr<const forwarding_snapshot> table_;
     /// The part of the encoded packet header that depends only on the table's version.
     std::string encoded_origin_;
+    routing::backlog_monitor backlog_;
     transport::datagram_batch batch_;
     /// Packets of the batch with their indexes in it, and their routes in the same order.
     std::vector<std::pair<std::size_t, routing::packet_info>> packets_;
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -25,6 +25,10 @@
 /// at most ten reports of newer versions per second.
 constexpr std::chrono::milliseconds notice_interval{100};
 
+/// After stop(), the thread reads at most this many batches of each socket. They hold more packets than the buffer of a
+/// socket, so that a stop ends under load and handles what had arrived.
+constexpr std::size_t max_batches_after_stop = 64;
+
 /// Balancers that have sent nothing for this long get no notice when the agent stops.
 constexpr std::chrono::seconds balancer_timeout{10};
 
@@ -47,6 +51,7 @@
         , notices(from.find("agent_version_notices_sent"))
         , failing(from.find("agent_upstream_failing"))
         , probes(from.find("agent_probes_answered"))
+        , stalls(from.find("agent_stalls"))
     {
         for (const auto it : routing::packet_reasons) {
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
@@ -68,6 +73,7 @@
     observability::counter& notices;
     observability::counter& failing;
     observability::counter& probes;
+    observability::counter& stalls;
 };
 
 packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets receive_from, formats packet_formats,
@@ -131,36 +137,61 @@
 {
     while (!stopping_.load()) {
         sockets_.peers->wait(maintenance_interval);
-        maintain(transport::read_clock());
-        read_peers();
-        if (sockets_.upstream)
-            read_upstream();
+        const auto now = transport::read_clock();
+        record_progress(now, maintenance_interval);
+        maintain(now);
+        while (!stopping_.load() && read_peers()) { }
+        while (!stopping_.load() && read_upstream()) { }
+        backlog_.record_drained();
     }
     announce_stop(transport::read_clock());
+    read_remaining();
 }
 
-void packet_receiver::read_peers()
+/// Handles the packets that have arrived before or during the announcement of the stop.
+void packet_receiver::read_remaining()
 {
-    while (!stopping_.load() && sockets_.peers->receive(batch_) > 0) {
-        const core::time_point now = transport::read_clock();
-        snapshot_ = snapshot_publisher_.load();
-        handle_batch(now);
-        maintain(now);
-    }
+    for (std::size_t n = 0; n < max_batches_after_stop && read_peers(); ++n) { }
+    for (std::size_t n = 0; n < max_batches_after_stop && read_upstream(); ++n) { }
 }
 
-void packet_receiver::read_upstream()
+void packet_receiver::record_progress(core::time_point now, core::milliseconds max_wait)
 {
-    while (!stopping_.load() && sockets_.upstream->receive(batch_) > 0) {
-        const core::time_point now = transport::read_clock();
-        snapshot_ = snapshot_publisher_.load();
-        outgoing_.clear();
-        generated_.clear();
-        for (std::size_t i = 0; i < batch_.size(); ++i)
-            handle_upstream_datagram(i, now);
-        send_all();
-        maintain(now);
-    }
+    const auto stalled = backlog_.record_progress(now, max_wait);
+    if (!stalled)
+        return;
+    counters_->stalls.add(1);
+    log_stall(name(), *stalled);
+}
+
+/// Handles a batch of datagrams from balancers and other agents. Returns false when none has arrived.
+bool packet_receiver::read_peers()
+{
+    if (sockets_.peers->receive(batch_) == 0)
+        return false;
+    const core::time_point now = transport::read_clock();
+    record_progress(now, core::milliseconds{0});
+    snapshot_ = snapshot_publisher_.load();
+    handle_batch(now);
+    maintain(now);
+    return true;
+}
+
+/// Handles a batch of datagrams from the upstream. Returns false when none has arrived.
+bool packet_receiver::read_upstream()
+{
+    if (!sockets_.upstream || sockets_.upstream->receive(batch_) == 0)
+        return false;
+    const core::time_point now = transport::read_clock();
+    record_progress(now, core::milliseconds{0});
+    snapshot_ = snapshot_publisher_.load();
+    outgoing_.clear();
+    generated_.clear();
+    for (std::size_t i = 0; i < batch_.size(); ++i)
+        handle_upstream_datagram(i, now);
+    send_all();
+    maintain(now);
+    return true;
 }
 
 void packet_receiver::handle_batch(core::time_point now)
@@ -249,13 +280,21 @@
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
     compare_versions(header, update_sender(header.sender, now), now);
-    const auto decision = agent_.decide(parsed.info, header, *snapshot_, now);
+    const auto decision = decide(parsed.info, header, now);
     if (decision.action == routing::packet_action::place)
         ++next_view_.flows;
     log_decision({parsed.info, header, decision, *snapshot_, agent_.load(now)});
     execute(decision, header, packet);
 }
 
+routing::packet_decision packet_receiver::decide(
+    const routing::packet_info& packet, const routing::packet_header& header, core::time_point now)
+{
+    if (backlog_.is_outdated(packet))
+        return {routing::packet_action::drop, routing::packet_reason::outdated, std::nullopt};
+    return agent_.decide(packet, header, *snapshot_, now);
+}
+
 void packet_receiver::execute(
     const routing::packet_decision& decision, const routing::packet_header& header, std::string_view packet)
 {
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.h
@@ -9,6 +9,7 @@
 #include "ibisdyke/observability/counter_registry.h"
 #include "ibisdyke/observability/state_reporter.h"
 #include "ibisdyke/routing/agent_snapshot.h"
+#include "ibisdyke/routing/backlog_monitor.h"
 #include "ibisdyke/routing/flow_agent.h"
 #include "ibisdyke/transport/datagram_socket.h"
 
@@ -110,7 +111,7 @@
 
     void start();
 
-    /// Returns after the thread has ended. Packets that were received by the sockets but not read are lost.
+    /// Returns after the thread has ended. Packets that have arrived by then are still handled.
     void stop();
 
     /// Returns the endpoint that receives packets from balancers and other agents.
@@ -132,8 +133,9 @@
     };
 
     void run();
-    void read_peers();
-    void read_upstream();
+    bool read_peers();
+    bool read_upstream();
+    void read_remaining();
     void handle_batch(core::time_point now);
     void handle_upstream_datagram(std::size_t i, core::time_point now);
     void track_answer(std::string_view packet, core::time_point now);
@@ -154,6 +156,9 @@
     balancer& update_sender(const core::endpoint& sender, core::time_point now);
     void announce_stop(core::time_point now);
     void maintain(core::time_point now);
+    void record_progress(core::time_point now, core::milliseconds max_wait);
+    routing::packet_decision decide(
+        const routing::packet_info& packet, const routing::packet_header& header, core::time_point now);
 
     packet_receiver_settings settings_;
     sockets sockets_;
@@ -167,6 +172,7 @@
     // The members from here to last_maintenance_ are used by the packet thread only.
     std::shared_ptr<const routing::agent_snapshot> snapshot_;
     routing::flow_agent agent_;
+    routing::backlog_monitor backlog_;
     /// Copied to view_ by maintain().
     packet_receiver_view next_view_;
     delivered_headers delivered_;
--- a/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
@@ -11,10 +11,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <tins/ip.h>
 #include <tins/rawpdu.h>
 #include <tins/tcp.h>
@@ -81,6 +83,7 @@
     {
         auto result = ip_.parse(packet);
         result.info.syn_retransmissions = syn_retransmissions_;
+        result.info.answer_wait = answer_wait_;
         return result;
     }
 
@@ -90,11 +93,43 @@
 
     /// Must be set before the packet threads start.
     std::uint32_t syn_retransmissions_ = 0;
+    core::milliseconds answer_wait_{0};
 
 private:
     frontends::ip_packet_format ip_;
 };
 
+/// A socket whose user can be paused: wait() then returns late, as in a process that was stopped meanwhile.
+class pausable_socket final : public transport::datagram_socket {
+public:
+    explicit pausable_socket(std::unique_ptr<transport::datagram_socket> inner)
+        : inner_(std::move(inner))
+    {
+    }
+
+    core::endpoint local() const override { return inner_->local(); }
+    int descriptor() const override { return inner_->descriptor(); }
+    void also_wait_for(const transport::datagram_socket& other) override { inner_->also_wait_for(other); }
+    void wake() override { inner_->wake(); }
+    std::size_t receive(transport::datagram_batch& batch) override { return inner_->receive(batch); }
+    std::size_t send(const std::vector<transport::outgoing_datagram>& datagrams) override
+    {
+        return inner_->send(datagrams);
+    }
+
+    void wait(core::milliseconds timeout) override
+    {
+        inner_->wait(timeout);
+        std::this_thread::sleep_for(next_pause.exchange(core::milliseconds{0}));
+    }
+
+    /// The length of the pause at the end of the next wait().
+    std::atomic<core::milliseconds> next_pause{core::milliseconds{0}};
+
+private:
+    std::unique_ptr<transport::datagram_socket> inner_;
+};
+
 /// An upstream with its agent.
 struct host {
     core::upstream_id id;
@@ -121,7 +156,9 @@
                 frontends::packet_receiver::formats{format, nullptr}, it.snapshots, it.counters, control,
                 [&it](const auto& latest, const auto&) { it.newer_versions.push_back(latest); });
         }
-        forwarder = std::make_unique<frontends::packet_forwarder>("forwarder", open_socket(), std::nullopt, format,
+        auto socket = std::make_unique<pausable_socket>(open_socket());
+        balancer_socket = socket.get();
+        forwarder = std::make_unique<frontends::packet_forwarder>("forwarder", std::move(socket), std::nullopt, format,
             std::make_unique<routing::chain_router>(), tables, balancer_counters, control,
             frontends::packet_forwarder::callbacks{
                 [this](const auto& latest, const auto&) { newer_versions.push_back(latest); },
@@ -208,6 +245,8 @@
     std::vector<std::vector<routing::chain_member>> retransmitted_syn_candidates;
     std::shared_ptr<const routing::routing_table> chains;
     std::unique_ptr<frontends::packet_forwarder> forwarder;
+    /// Belongs to the forwarder.
+    pausable_socket* balancer_socket = nullptr;
 };
 
 } // namespace
@@ -370,6 +409,51 @@
     CHECK(routing::wire::decode_version_notice(routing::wire::split_datagram(*notice).message) == expected);
 }
 
+/// Returns how many datagrams arrive at the socket before it stays empty for `silence`.
+std::size_t count_datagrams(transport::datagram_socket& from, std::chrono::milliseconds silence)
+{
+    std::size_t result = 0;
+    while (receive(from, silence))
+        ++result;
+    return result;
+}
+
+// A process that stops under load has requests in the buffers of its sockets, which it has accepted. They must not be
+// lost: the callers would learn of it only when their time is over.
+TEST_CASE("packets that have arrived before a planned stop are handled")
+{
+    constexpr std::size_t packets = 200;
+    packet_path path(1);
+    path.publish_to_balancer({1, 5});
+    path.publish_to_agents({1, 5}, false);
+    for (std::uint16_t i = 0; i < packets; ++i)
+        send(*path.caller, udp_packet(static_cast<std::uint16_t>(3000 + i)), path.forwarder->local());
+    path.forwarder->start();
+    path.forwarder->stop();
+    path.hosts[0]->agent->start();
+    path.hosts[0]->agent->stop();
+    CHECK(count_datagrams(*path.hosts[0]->upstream, 100ms) == packets);
+}
+
+// A balancer that was paused for seconds reads the SYNs of callers who have given up. Their flows would take the slots
+// of upstreams, and callers who are present would be refused.
+TEST_CASE("a balancer that was paused drops the SYNs that waited and forwards all later ones")
+{
+    packet_path path(1);
+    path.format->answer_wait_ = 200ms;
+    path.publish_to_balancer({1, 5});
+    path.publish_to_agents({1, 5}, false);
+    path.start();
+    REQUIRE(path.deliver(tcp_packet(2000, Tins::TCP::SYN, "")));
+    path.balancer_socket->next_pause = 700ms;
+    for (std::uint16_t i = 1; i <= 20; ++i)
+        send(*path.caller, tcp_packet(static_cast<std::uint16_t>(2000 + i), Tins::TCP::SYN, ""),
+            path.forwarder->local());
+    REQUIRE(path.run_until([&] { return path.balancer_counters.find("forwarder_dropped_outdated").value() == 20; }));
+    CHECK(path.balancer_counters.find("forwarder_stalls").value() == 1);
+    CHECK(path.deliver(tcp_packet(4000, Tins::TCP::SYN, "")));
+}
+
 // If an agent ignored the table version in packets, it would miss an update that balancers already have.
 TEST_CASE("a newer table version in a packet reaches the agent's control thread")
 {
--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -12,14 +12,15 @@
 /// The share of a route's latency target that the upstream may use. The rest covers the network and variation.
 constexpr int upstream_time_percent = 50;
 
+/// The share of a route's latency target that an upstream is taken to work on a request before its first response.
+/// After a restart of all processes, every caller comes back before that response. With this share, an upstream then
+/// gets up to one waiting request for each slot.
+constexpr int assumed_service_percent = 25;
+
 /// An upstream that has had no free slot for this long is unlikely to have one at a caller's next retransmission. Equal
 /// to the time from a caller's first SYN to its last retransmission.
 constexpr core::milliseconds sustained_overload{600};
 
-/// Added to the queue of a failing upstream, in thousandths of its slots. It exceeds any queue, so that the upstream
-/// gets a new flow only if no other candidate can take it.
-constexpr std::uint32_t failing_upstream_load = 1'000'000;
-
 /// Callers give up after this many retransmissions of a SYN.
 constexpr std::uint32_t last_retransmission = 2;
 
@@ -39,12 +40,11 @@
     if (packet.syn_retransmissions > 0 && pending_.queue_per_mille() > 0)
         return packet_reason::yields;
     const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
-    const auto expected_time = pending_.expected_response_time();
-    if (route == nullptr || !expected_time || pending_.queue_per_mille() == 0
-        || route->latency_target == core::milliseconds{0})
+    if (route == nullptr || pending_.queue_per_mille() == 0 || route->latency_target == core::milliseconds{0})
         return std::nullopt;
     const auto max_time = route->latency_target * upstream_time_percent / 100;
-    return *expected_time > max_time ? std::optional(packet_reason::overloaded) : std::nullopt;
+    const auto expected_time = pending_.expected_response_time(route->latency_target * assumed_service_percent / 100);
+    return expected_time > max_time ? std::optional(packet_reason::overloaded) : std::nullopt;
 }
 
 bool flow_admission_control::should_await_retransmission(
@@ -68,8 +68,7 @@
 
 upstream_load flow_admission_control::load(std::size_t active_flows, core::time_point now) const
 {
-    const auto queue = pending_.queue_per_mille() + (failures_.is_failing(now) ? failing_upstream_load : 0);
-    return {queue, static_cast<std::uint32_t>(active_flows)};
+    return {failures_.is_failing(now), pending_.queue_per_mille(), static_cast<std::uint32_t>(active_flows)};
 }
 
 void flow_admission_control::record_new_flow(const flow_key& flow, core::time_point now)
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -44,6 +44,8 @@
 
 /// The load of an upstream, for the choice among candidates. Lower is better.
 struct upstream_load {
+    /// Whether the upstream's requests fail. It then gets a new flow only if no other candidate can take it.
+    bool failing = false;
     /// Requests beyond the free slots, in thousandths of the slots. Proportional to the wait of the next request.
     std::uint32_t queue_per_mille = 0;
     std::uint32_t open_flows = 0;
--- a/libraries/ibisdyke/routing/packet_info.h
+++ b/libraries/ibisdyke/routing/packet_info.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisdyke/core/time.h"
 #include "ibisdyke/routing/flow_key.h"
 
 #include <cstddef>
@@ -30,6 +31,11 @@
     bool is_first = false;
     /// How often the caller has retransmitted the SYN, if the format shows it. Tells how long the caller has waited.
     std::uint32_t syn_retransmissions = 0;
+    /// How long the caller waits for an answer to this SYN before it retransmits it or gives up; 0 if it is unknown.
+    core::milliseconds answer_wait{0};
+    /// Whether two upstreams may accept the flow of this SYN. The flow then opens at one of them, and the other returns
+    /// the packets of the flow.
+    bool may_be_placed_twice = false;
     /// Whether the packet carries data, not only an acknowledgement.
     bool has_data = false;
     /// Whether the packet aborts its flow (TCP RST).
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -55,6 +55,7 @@
     message.set_restarted(write_position(it.restarted));
     message.set_recovery_left_ms(it.recovery_left_ms);
     message.set_fallback(write_position(it.fallback));
+    message.set_fallback_failing(it.fallback_load.failing);
     message.set_fallback_waiting(it.fallback_load.queue_per_mille);
     message.set_fallback_open_flows(it.fallback_load.open_flows);
     message.set_hops(it.hops);
@@ -93,7 +94,7 @@
     result.restarted = read_position(message.restarted());
     result.recovery_left_ms = message.recovery_left_ms();
     result.fallback = read_position(message.fallback());
-    result.fallback_load = {message.fallback_waiting(), message.fallback_open_flows()};
+    result.fallback_load = {message.fallback_failing(), message.fallback_waiting(), message.fallback_open_flows()};
     result.hops = message.hops();
     result.asked = message.asked();
     result.is_new = message.is_new();
