routing: Offer a retransmitted SYN to another candidate, admit less at a start

Cause: a SYN and its two copies went to the same first candidate. When its host has crashed, each balancer loses its first flow there until probes have found it out, 55 balancers one after the other. An upstream's queue contained requests that nobody sent for up to 2 s.

Ruled out: sending the first SYN to two candidates, because it doubles the handshakes of every flow for a loss that is rare.

Change: - A copy avoids the candidates that got the SYNs before it, where the format says that a flow may be accepted twice; upstreams return packets of flows that they do not hold.

--- a/libraries/ibisdyke/routing/chain_router.cpp
+++ b/libraries/ibisdyke/routing/chain_router.cpp
@@ -1,9 +1,24 @@
 #include "ibisdyke/routing/chain_router.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisdyke::routing {
 
+namespace {
+
+/// Callers give up after this many retransmissions.
+constexpr std::uint32_t max_unanswered_syns = 2;
+
+/// Returns how many SYNs of the packet's flow were not answered, if another candidate may be tried.
+std::uint32_t count_unanswered_syns(const packet_info& packet)
+{
+    const bool may_go_elsewhere = packet.kind == packet_kind::syn && packet.may_be_placed_twice;
+    return may_go_elsewhere ? std::min(packet.syn_retransmissions, max_unanswered_syns) : 0;
+}
+
+} // namespace
+
 void chain_router::set_table(std::shared_ptr<const forwarding_table> table)
 {
     table_ = std::move(table);
@@ -12,16 +27,18 @@
 
 bool chain_router::may_place(const packet_info& syn, const chain& bucket_chain, core::time_point::duration age)
 {
-    if (syn.is_first)
+    if (syn.is_first || syn.may_be_placed_twice)
         return true;
     return bucket_chain.candidates == bucket_chain.members.size() && age >= settled_after;
 }
 
-const std::optional<reordered_chain>& chain_router::find_reordered_chain(std::uint32_t service, std::uint16_t chain)
+const std::optional<reordered_chain>& chain_router::find_reordered_chain(
+    std::uint32_t service, std::uint16_t chain, std::uint32_t unanswered_syns)
 {
-    const auto [it, is_new] = reordered_chains_.try_emplace({service, chain});
+    const auto [it, is_new] = reordered_chains_.try_emplace({service, chain, unanswered_syns});
     if (is_new)
-        it->second = reorder_by_reachability(table_->chains->services()[service]->chains()[chain], table_->unreachable);
+        it->second = reorder_after_unanswered_syns(
+            table_->chains->services()[service]->chains()[chain], table_->unreachable, unanswered_syns);
     return it->second;
 }
 
@@ -30,11 +47,12 @@
 std::optional<route> chain_router::select_reordered_chain(
     const packet_info& packet, std::uint32_t service, std::uint16_t chain)
 {
-    const auto& reordered = find_reordered_chain(service, chain);
+    const auto& reordered = find_reordered_chain(service, chain, count_unanswered_syns(packet));
     if (!reordered)
         return std::nullopt;
     const bool is_syn = packet.kind == packet_kind::syn;
-    const auto phase = is_syn && packet.is_first ? search_phase::place : search_phase::find;
+    const bool is_placed = is_syn && (packet.is_first || packet.may_be_placed_twice);
+    const auto phase = is_placed ? search_phase::place : search_phase::find;
     return route{service, reordered->members.members.front().packet_endpoint, &reordered->members, std::nullopt, phase,
         is_syn ? reordered->unreachable : 0};
 }
@@ -53,7 +71,7 @@
     const auto* const destination = service_chains.first_endpoint(bucket);
     if (destination == nullptr)
         return std::nullopt;
-    if (!table_->unreachable.empty()) {
+    if (!table_->unreachable.empty() || count_unanswered_syns(packet) > 0) {
         if (const auto reordered = select_reordered_chain(packet, service, index))
             return reordered;
     }
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -276,7 +276,10 @@
     const bool admitted = !refusal;
     const bool is_last = header.position + 1 >= header.candidates;
     const auto own = load(now);
-    const bool has_room = own.queue_per_mille == 0 && own.open_flows <= agent.admission.mean_open_flows + 1;
+    // A caller who has retransmitted its SYN has waited already. Its flow is not passed on for balance alone, because
+    // the next candidate may not be there either.
+    const bool is_balanced = own.open_flows <= agent.admission.mean_open_flows + 1 || packet.syn_retransmissions > 0;
+    const bool has_room = !own.failing && own.queue_per_mille == 0 && is_balanced;
     // The admitted candidate with the least load is the fallback. The last candidate is asked only after no other had
     // room, so it takes the flow if there is no fallback or the fallback has more load.
     const bool is_best = !header.fallback || own < header.fallback_load;
--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -30,6 +30,8 @@
     if (requests_.insert_or_assign(flow, started).second)
         expiry_checks_.emplace_back(now, flow);
     overdue_checks_.emplace_back(now, flow);
+    if (state == request_state::expected)
+        expected_checks_.emplace_back(now, flow);
     update_busy_since(now);
 }
 
@@ -81,8 +83,21 @@
     return true;
 }
 
+/// Removes the requests that the callers have not sent in time.
+void pending_requests::remove_unsent(core::time_point now)
+{
+    for (; !expected_checks_.empty() && now - expected_checks_.front().first >= max_expected_age;
+         expected_checks_.pop_front()) {
+        const auto& [since, flow] = expected_checks_.front();
+        const auto it = requests_.find(flow);
+        if (it != requests_.end() && it->second.since == since && it->second.state == request_state::expected)
+            requests_.erase(it);
+    }
+}
+
 void pending_requests::remove_expired(core::time_point now)
 {
+    remove_unsent(now);
     while (!expiry_checks_.empty() && now - expiry_checks_.front().first >= max_age) {
         const auto flow = expiry_checks_.front().second;
         expiry_checks_.pop_front();
@@ -105,11 +120,9 @@
     return (busy - slots_ + 1) * per_mille / slots_;
 }
 
-std::optional<std::chrono::nanoseconds> pending_requests::expected_response_time() const
+std::chrono::nanoseconds pending_requests::expected_response_time(std::chrono::nanoseconds assumed_service_time) const
 {
-    if (!service_time_)
-        return std::nullopt;
-    return add_queue_time(*service_time_, queue_per_mille());
+    return add_queue_time(service_time_.value_or(assumed_service_time), queue_per_mille());
 }
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -20,6 +20,10 @@
     /// A request without a response is removed after this time. The caller may be gone, or the response may be lost.
     static constexpr std::chrono::seconds max_age{2};
 
+    /// A request of an open flow is no longer expected when the caller has sent no data for this time. The caller has
+    /// given up, or has opened the flow at another upstream. Longer than the time in which a lost SYN-ACK is repeated.
+    static constexpr std::chrono::milliseconds max_expected_age{300};
+
     /// `slots` is the number of requests that the upstream serves at the same time; 0 if it is unknown.
     void set_slots(std::uint32_t slots) { slots_ = slots; }
 
@@ -53,8 +57,9 @@
     /// Returns the average time that the upstream works on a request, or nothing before the first response.
     std::optional<std::chrono::nanoseconds> service_time() const { return service_time_; }
 
-    /// Returns the expected wait and service time of a request that begins now, or nothing before the first response.
-    std::optional<std::chrono::nanoseconds> expected_response_time() const;
+    /// Returns the expected wait and service time of a request that begins now. Before the first response, the service
+    /// time is taken to be `assumed_service_time`.
+    std::chrono::nanoseconds expected_response_time(std::chrono::nanoseconds assumed_service_time) const;
 
 private:
     enum class request_state : std::uint8_t {
@@ -71,11 +76,14 @@
     };
 
     void start(const flow_key& flow, core::time_point now, request_state state);
+    void remove_unsent(core::time_point now);
     void update_busy_since(core::time_point now);
 
     std::uint32_t slots_ = 0;
     std::unordered_map<flow_key, request> requests_;
     std::deque<std::pair<core::time_point, flow_key>> expiry_checks_;
+    /// Start times and flows of the requests that were expected, oldest first.
+    std::deque<std::pair<core::time_point, flow_key>> expected_checks_;
     /// Start times and flows of the requests that take_overdue_count() has not checked yet, oldest first.
     std::deque<std::pair<core::time_point, flow_key>> overdue_checks_;
     std::optional<std::chrono::nanoseconds> service_time_;
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -172,6 +172,18 @@
     CHECK(outcomes.refused_at_first_syn > static_cast<std::size_t>(3 * capacity * 8 / 10));
 }
 
+// Replays the return of all callers after a loss of power everywhere. The agents have seen no response yet and must not
+// take every flow: each response would be late, and so would those of the callers who come next.
+TEST_CASE("before the first response, upstreams get no more flows than they can serve in time")
+{
+    overload_simulation simulation(7);
+    auto arrivals = make_arrivals(400, 20ms);
+    const auto outcomes = simulation.run(arrivals);
+    const auto served_in_time = std::size_t{7} * slots * (latency_target / 2 / service_time);
+    CHECK(outcomes.in_time >= served_in_time);
+    CHECK(outcomes.late < std::size_t{7} * slots / 2);
+}
+
 // Flows must not be refused while the upstreams have free capacity.
 TEST_CASE("below the upstreams' capacity each flow is served in time at its first SYN")
 {
--- a/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
+++ b/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
@@ -68,16 +68,17 @@
 {
     pending_requests it;
     it.set_slots(1);
-    CHECK_FALSE(it.expected_response_time());
+    CHECK_FALSE(it.service_time());
+    CHECK(it.expected_response_time(25ms) == 25ms);
     // The second request waits for the first one, so its response takes twice the service time.
     it.start(flow(1), start);
     it.start(flow(2), start);
     it.complete(flow(1), start + 20ms);
     it.complete(flow(2), start + 40ms);
     CHECK(it.service_time() == 20ms);
-    CHECK(it.expected_response_time() == 20ms);
+    CHECK(it.expected_response_time(25ms) == 20ms);
     it.start(flow(3), start + 50ms);
-    CHECK(it.expected_response_time() == 40ms);
+    CHECK(it.expected_response_time(25ms) == 40ms);
 }
 
 // Requests whose callers are gone must not occupy slots forever.
@@ -98,6 +99,28 @@
     CHECK_FALSE(it.service_time());
 }
 
+// After a pause of a balancer, its socket holds the SYNs of callers who have given up. An upstream must not count as
+// busy for seconds with requests that nobody sends.
+TEST_CASE("a request that the caller does not send is expected for a short time only")
+{
+    pending_requests it;
+    it.set_slots(2);
+    for (std::uint16_t port = 1; port <= 50; ++port)
+        it.expect(flow(port), start);
+    it.start(flow(7), start + 10ms);
+    it.remove_expired(start + pending_requests::max_expected_age - 1ms);
+    CHECK(it.size() == 50);
+    it.remove_expired(start + pending_requests::max_expected_age);
+    CHECK(it.size() == 1);
+    CHECK(it.queue_per_mille() == 0);
+    CHECK_FALSE(it.busy_since());
+    // The SYN of a caller who has returned is a new request.
+    it.expect(flow(3), start + 1s);
+    it.expect(flow(3), start + 1200ms);
+    it.remove_expired(start + 1s + pending_requests::max_expected_age);
+    CHECK(it.size() == 2);
+}
+
 // A short wait, a flow whose caller sends no request, and a request with a response must not count as failures of the
 // upstream.
 TEST_CASE("only requests that were sent become overdue, once each")
