dissemination: Leave a busy control process time to answer at a start

Subscribers gave up 60 ms after they had connected, up to 200 times in 100 ms, and the three control processes that they know spent their 0.075 of a core on subscriptions that were given up.

Change: once the connection is established, a source has 500 ms for its first message, doubled with failures up to 1 s. Attempts at sources that are not there yet come every 100 ms instead of 50 to 60 ms.

Tried and taken out: senders without an answer so far ask one control process in a period. An agent that restarts beside two lost control processes would take 1.5 s of its lease of 2 s to reach the third.

--- a/libraries/ibisdyke/dissemination/subscription_monitor.cpp
+++ b/libraries/ibisdyke/dissemination/subscription_monitor.cpp
@@ -10,10 +10,18 @@
     constexpr std::size_t failures_per_doubling = 6;
     constexpr std::size_t max_doublings = 8;
     const auto doublings = std::min(failures / failures_per_doubling, max_doublings);
-    const auto shortest = has_state ? limits.min_first_message_with_state : limits.min_first_message;
+    const auto shortest = has_state ? limits.min_first_message_of_busy_source : limits.min_first_message;
     return std::min(shortest * (std::int64_t{1} << doublings), limits.max_first_message);
 }
 
+subscription_limits limits_after_failures(subscription_limits limits, std::size_t failures, bool has_state)
+{
+    const auto of_busy_source = first_message_limit(limits, failures, true);
+    limits.max_first_message = first_message_limit(limits, failures, has_state);
+    limits.min_first_message_of_busy_source = of_busy_source;
+    return limits;
+}
+
 core::milliseconds delivery_limit(const subscription_limits& limits, std::size_t subscribers)
 {
     constexpr core::milliseconds time_per_subscriber{2};
@@ -21,6 +29,11 @@
     return std::min(total, limits.max_delivery_timeout);
 }
 
+void subscription_monitor::on_connected()
+{
+    limits_.max_first_message = std::max(limits_.max_first_message, limits_.min_first_message_of_busy_source);
+}
+
 void subscription_monitor::on_version(const core::version& version, core::time_point now)
 {
     last_message_at_ = now;
--- a/libraries/ibisdyke/dissemination/subscription_monitor.h
+++ b/libraries/ibisdyke/dissemination/subscription_monitor.h
@@ -16,10 +16,11 @@
     /// first_message_limit().
     core::milliseconds max_first_message{1000};
     /// Shortest wait for the first message, used after few failures; see first_message_limit().
-    core::milliseconds min_first_message{60};
-    /// The same for a subscriber that has a state. It can work on for a while, and when many subscribers lose their
-    /// source at once, short waits keep a slow control process busy with subscriptions that are given up.
-    core::milliseconds min_first_message_with_state{500};
+    core::milliseconds min_first_message{100};
+    /// The same for a subscriber that has a state, which can work on for a while, and for a subscription whose
+    /// connection is established. When all subscribers of a fleet come at once, short waits keep a slow control process
+    /// busy with subscriptions that are given up.
+    core::milliseconds min_first_message_of_busy_source{500};
     /// A subscription without any message for this long is silent. Keep-alives are sent each second.
     core::milliseconds silence_timeout{1800};
     /// A subscription is current only if a control process in contact with the leader confirmed it within this time.
@@ -58,6 +59,9 @@
 /// answer.
 core::milliseconds first_message_limit(const subscription_limits& limits, std::size_t failures, bool has_state);
 
+/// Returns the limits with the wait for the first message that applies after `failures` failed subscriptions in a row.
+subscription_limits limits_after_failures(subscription_limits limits, std::size_t failures, bool has_state);
+
 /// Returns the time in which a source must deliver a version that a subscriber has seen elsewhere, in a system with
 /// this many subscribers. A source takes longer for a large change the more subscribers it has. When they all leave it
 /// before it is done, they ask the others for the same change, which then take too long as well.
@@ -73,6 +77,9 @@
     {
     }
 
+    /// Records that the connection to the source is established, so that the source runs and only has to answer.
+    void on_connected();
+
     /// Records the arrival of a snapshot or delta that ends at `version`.
     void on_version(const core::version& version, core::time_point now);
 
--- a/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
@@ -23,8 +23,10 @@
 /// current source tries one source per second.
 constexpr core::milliseconds min_subscription_time{1000};
 
-/// Delay before the next attempt after a source that failed immediately, for example because its port was closed.
-constexpr core::milliseconds retry_pause{50};
+/// Delay before the next attempt after a source that failed immediately, for example because its port was closed. After
+/// a loss of power, a whole fleet waits for few control processes, which each attempt costs processor time at their
+/// start.
+constexpr core::milliseconds retry_pause{100};
 
 /// Each relay adds this to the age of the state, in addition to the time that has passed. The age therefore grows in a
 /// cycle of relays, however fast they forward keep-alives.
@@ -106,8 +108,7 @@
     counters_.add("subscriptions_opened", 1);
     const auto now = transport::read_clock();
     subscribed_at_ = now;
-    auto limits = settings_.limits;
-    limits.max_first_message = dissemination::first_message_limit(limits, consecutive_failures_, state_ != nullptr);
+    auto limits = dissemination::limits_after_failures(settings_.limits, consecutive_failures_, state_ != nullptr);
     limits.delivery_timeout = random_delivery_limit();
     subscription_ = std::make_shared<subscription>(source, settings_.source_address, meter_, limits, now, this);
     const dissemination::subscribe_request request{
@@ -262,6 +263,8 @@
     if (!subscription_ || resubscribe_scheduled_)
         return;
     const auto now = transport::read_clock();
+    if (subscription_->client->is_connected())
+        subscription_->monitor.on_connected();
     const auto condition = subscription_->monitor.state(applied_version(), now);
     if (condition == dissemination::subscription_state::opening
         || condition == dissemination::subscription_state::current)
--- a/libraries/ibisdyke/transport/http2_client.h
+++ b/libraries/ibisdyke/transport/http2_client.h
@@ -35,6 +35,8 @@
     void shut_down();
 
     const core::endpoint& peer() const { return peer_; }
+    /// Whether a connection to the peer is established.
+    bool is_connected() const { return connection_ != nullptr; }
     std::size_t open_streams() const { return connection_ != nullptr ? connection_->open_streams() : 0; }
 
 private:
