routing: Place a passed-on SYN without an answer where its data arrives

Change: the router follows the chain again. The agent that passed a SYN on and gets it again removes its redirect entry, does not ask that member again and places the flow itself if a slot is free.

--- a/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_forwarder.cpp
@@ -248,19 +248,15 @@
     outgoing_.push_back({batch_.prepend(i, 0, {length, encoded_origin_, chain, phase, asked}), route.destination});
 }
 
-/// A caller retransmits its SYN when it has received no answer, so the agents of its chain may be unreachable. Reports
-/// the candidates, with those that the packet avoids.
+/// A caller retransmits its SYN when it has received no answer, so the agents of its chain may be unreachable.
 void packet_forwarder::report_retransmitted_syn(const routing::route& route, core::time_point now)
 {
     if (!callbacks_.on_retransmitted_syn || now - last_retransmitted_syn_report_ < retransmitted_syn_interval)
         return;
     last_retransmitted_syn_report_ = now;
-    std::vector<routing::chain_member> candidates;
-    for (std::size_t i = 0; i < route.members->members.size(); ++i) {
-        const bool avoided = (route.asked >> i & 1U) != 0;
-        if (i < route.members->candidates || avoided)
-            candidates.push_back(route.members->members[i]);
-    }
+    const auto& members = route.members->members;
+    std::vector<routing::chain_member> candidates(
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(route.members->candidates));
     QMetaObject::invokeMethod(
         &control_, [callback = callbacks_.on_retransmitted_syn, it = std::move(candidates)] { callback(it); },
         Qt::QueuedConnection);
--- a/libraries/ibisdyke/routing/chain_router.cpp
+++ b/libraries/ibisdyke/routing/chain_router.cpp
@@ -1,24 +1,9 @@
 #include "ibisdyke/routing/chain_router.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace ibisdyke::routing {
 
-namespace {
-
-/// Callers give up after this many retransmissions.
-constexpr std::uint32_t max_unanswered_syns = 2;
-
-/// Returns how many SYNs of the packet's flow were not answered, if another candidate may be tried.
-std::uint32_t count_unanswered_syns(const packet_info& packet)
-{
-    const bool may_go_elsewhere = packet.kind == packet_kind::syn && packet.may_be_placed_twice;
-    return may_go_elsewhere ? std::min(packet.syn_retransmissions, max_unanswered_syns) : 0;
-}
-
-} // namespace
-
 void chain_router::set_table(std::shared_ptr<const forwarding_table> table)
 {
     table_ = std::move(table);
@@ -32,13 +17,11 @@
     return bucket_chain.candidates == bucket_chain.members.size() && age >= settled_after;
 }
 
-const std::optional<reordered_chain>& chain_router::find_reordered_chain(
-    std::uint32_t service, std::uint16_t chain, std::uint32_t unanswered_syns)
+const std::optional<reordered_chain>& chain_router::find_reordered_chain(std::uint32_t service, std::uint16_t chain)
 {
-    const auto [it, is_new] = reordered_chains_.try_emplace({service, chain, unanswered_syns});
+    const auto [it, is_new] = reordered_chains_.try_emplace({service, chain});
     if (is_new)
-        it->second = reorder_after_unanswered_syns(
-            table_->chains->services()[service]->chains()[chain], table_->unreachable, unanswered_syns);
+        it->second = reorder_by_reachability(table_->chains->services()[service]->chains()[chain], table_->unreachable);
     return it->second;
 }
 
@@ -47,7 +30,7 @@
 std::optional<route> chain_router::select_reordered_chain(
     const packet_info& packet, std::uint32_t service, std::uint16_t chain)
 {
-    const auto& reordered = find_reordered_chain(service, chain, count_unanswered_syns(packet));
+    const auto& reordered = find_reordered_chain(service, chain);
     if (!reordered)
         return std::nullopt;
     const bool is_syn = packet.kind == packet_kind::syn;
@@ -71,7 +54,7 @@
     const auto* const destination = service_chains.first_endpoint(bucket);
     if (destination == nullptr)
         return std::nullopt;
-    if (!table_->unreachable.empty() || count_unanswered_syns(packet) > 0) {
+    if (!table_->unreachable.empty()) {
         if (const auto reordered = select_reordered_chain(packet, service, index))
             return reordered;
     }
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -18,8 +18,10 @@
 using detail::is_for_service;
 using detail::is_recovering;
 using detail::is_search_complete;
+using detail::mark_asked;
 using detail::may_hold;
 using detail::members_missing_from;
+using detail::next_unasked_candidate;
 using detail::next_unasked_member;
 using detail::offer_adoption;
 using detail::possible_services;
@@ -75,6 +77,7 @@
     if (header.hops >= max_hops)
         return dropped(packet_reason::too_many_hops);
     table_history_.record_seen(header.table, agent.applied, now);
+    const auto unanswering = forget_unanswered_redirect(packet, now);
     // An agent whose failure domain is out of service rejects only its own flows. Balancers and agents apply the change
     // at different times, so packets of other members' flows still arrive here and must continue along their chain.
     if (auto known = handle_known_flow(packet, header, agent, now))
@@ -89,6 +92,8 @@
         return {packet_action::adopt, packet_reason::none, std::nullopt};
     auto next = header;
     next.asked |= 1U << header.position;
+    if (unanswering)
+        mark_asked(next, unanswering->id);
     switch (header.phase) {
     case search_phase::find:
         return search(packet, std::move(next), agent, now);
@@ -100,6 +105,21 @@
     return assign(packet, next, agent, now);
 }
 
+/// When a caller sends its SYN again although this agent has passed the SYN on, the member that got it does not answer,
+/// or this agent cannot reach that member. Removes the redirect entry of such a flow and returns the member, which is
+/// not asked again.
+std::optional<header_member> flow_agent::forget_unanswered_redirect(const packet_info& packet, core::time_point now)
+{
+    if (!packet.may_be_placed_twice || packet.syn_retransmissions == 0)
+        return std::nullopt;
+    const auto* const known = flows_.touch(packet, now);
+    if (known == nullptr || !known->redirect)
+        return std::nullopt;
+    const auto result = *known->redirect;
+    flows_.erase(packet.flow);
+    return result;
+}
+
 /// Decides about a packet whose destination belongs to this service in the balancer's table but not in the agent's. If
 /// the agent's table is newer, a new flow is forwarded to the service that the agent's table names.
 packet_decision flow_agent::handle_misdirected_packet(
@@ -274,7 +294,8 @@
         return search_own_chain(packet, std::move(header), agent, now);
     const auto refusal = admission_.refusal_reason(packet, agent, flows_.open_flows(), now);
     const bool admitted = !refusal;
-    const bool is_last = header.position + 1 >= header.candidates;
+    const auto next_candidate = next_unasked_candidate(header);
+    const bool is_last = !next_candidate;
     const auto own = load(now);
     // A caller who has retransmitted its SYN has waited already. Its flow is not passed on for balance alone, because
     // the next candidate may not be there either.
@@ -291,10 +312,8 @@
         header.fallback = header.position;
         header.fallback_load = own;
     }
-    if (!is_last) {
-        const auto next = header.position + 1;
-        return forward_new_flow(packet, std::move(header), next, search_phase::place, now);
-    }
+    if (next_candidate)
+        return forward_new_flow(packet, std::move(header), *next_candidate, search_phase::place, now);
     if (header.fallback && *header.fallback < header.position) {
         const auto next = *header.fallback;
         return forward_new_flow(packet, std::move(header), next, search_phase::assign, now);
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -76,6 +76,7 @@
         const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
     std::optional<packet_decision> handle_known_flow(
         const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
+    std::optional<header_member> forget_unanswered_redirect(const packet_info& packet, core::time_point now);
     packet_decision search(
         const packet_info& packet, packet_header header, const agent_snapshot& agent, core::time_point now);
     packet_decision end_search(
--- a/libraries/ibisdyke/routing/flow_search.cpp
+++ b/libraries/ibisdyke/routing/flow_search.cpp
@@ -115,6 +115,23 @@
     return ((header.asked >> position) & 1U) != 0;
 }
 
+void mark_asked(packet_header& header, const core::upstream_id& id)
+{
+    const auto& chain = header.chain;
+    const auto it = std::find_if(chain.begin(), chain.end(), [&id](const auto& known) { return known.id == id; });
+    if (it != chain.end())
+        header.asked |= 1U << static_cast<std::uint32_t>(it - chain.begin());
+}
+
+std::optional<std::uint32_t> next_unasked_candidate(const packet_header& header)
+{
+    for (auto position = header.position + 1; position < header.candidates; ++position) {
+        if (!was_asked(header, position))
+            return position;
+    }
+    return std::nullopt;
+}
+
 std::optional<std::uint32_t> next_unasked_member(const packet_header& header)
 {
     const auto n = static_cast<std::uint32_t>(header.chain.size());
--- a/libraries/ibisdyke/routing/flow_search.h
+++ b/libraries/ibisdyke/routing/flow_search.h
@@ -35,6 +35,12 @@
 
 bool was_asked(const packet_header& header, std::uint32_t position);
 
+/// Records that the member need not be asked in this phase.
+void mark_asked(packet_header& header, const core::upstream_id& id);
+
+/// Returns the position of the next candidate after the current position that was not asked, or nothing.
+std::optional<std::uint32_t> next_unasked_candidate(const packet_header& header);
+
 /// Returns the position of the next member that was not asked, searching from the current position and wrapping around.
 std::optional<std::uint32_t> next_unasked_member(const packet_header& header);
 
--- a/libraries/ibisdyke/routing/reordered_chain.cpp
+++ b/libraries/ibisdyke/routing/reordered_chain.cpp
@@ -22,19 +22,4 @@
     return result;
 }
 
-std::optional<reordered_chain> reorder_after_unanswered_syns(
-    const chain& original, const unreachable_set& unreachable, std::uint32_t unanswered_syns)
-{
-    auto suspected = unreachable;
-    auto result = reorder_by_reachability(original, suspected);
-    for (std::uint32_t n = 0; n < unanswered_syns; ++n) {
-        const auto& known = result ? result->members : original;
-        if (known.candidates < 2)
-            break;
-        suspected.insert(known.members.front().id);
-        result = reorder_by_reachability(original, suspected);
-    }
-    return result;
-}
-
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/reordered_chain.h
+++ b/libraries/ibisdyke/routing/reordered_chain.h
@@ -23,10 +23,4 @@
 /// reachable.
 std::optional<reordered_chain> reorder_by_reachability(const chain& original, const unreachable_set& unreachable);
 
-/// Returns the chain for a SYN of which the caller has sent `unanswered_syns` before, reordered by reachability, or
-/// nothing when the order stays the same. The candidates that got the former SYNs count as unreachable, as long as
-/// another one is left.
-std::optional<reordered_chain> reorder_after_unanswered_syns(
-    const chain& original, const unreachable_set& unreachable, std::uint32_t unanswered_syns);
-
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -184,6 +184,46 @@
     CHECK(outcomes.late < std::size_t{7} * slots / 2);
 }
 
+// Replays a cut between the failure domains of two agents, while the balancer reaches both: a SYN that the first
+// candidate passes on is lost. The retransmitted SYN must be placed where the balancer's packets of the flow arrive as
+// well. When it went to the second candidate directly, the flow opened there, its data was lost on the way over the
+// first one, and the caller's time ran out.
+TEST_CASE("a SYN that was passed on and not answered is placed by the agent that passed it on")
+{
+    simulated_hosts hosts(6);
+    hosts.upstreams_return_packets = true;
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id].slots = slots;
+    hosts.update_agents();
+    std::size_t passed_on = 0;
+    for (std::uint32_t caller = 0; caller < 300; ++caller) {
+        auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        syn.is_first = true;
+        syn.may_be_placed_twice = true;
+        const auto chain = *hosts.table->find_chain(simulated_hosts::service, routing::bucket_of_flow(syn.flow));
+        const auto cut_off = chain.members[1].id;
+        auto agent = std::move(hosts.agents.at(cut_off));
+        hosts.agents.erase(cut_off);
+        const auto first = hosts.send(syn, hosts.table, search_phase::place);
+        if (first.action == packet_action::drop) {
+            ++passed_on;
+            REQUIRE(first.at == cut_off);
+            syn.is_first = false;
+            syn.syn_retransmissions = 1;
+            const auto second = hosts.send(syn, hosts.table, search_phase::place);
+            CHECK(second.action == packet_action::place);
+            CHECK(second.at == chain.members[0].id);
+            const auto data = hosts.send(simulated_hosts::packet(caller, packet_kind::segment), hosts.table);
+            CHECK(data.action == packet_action::deliver);
+            CHECK(data.at == second.at);
+        }
+        hosts.agents[cut_off] = std::move(agent);
+        const auto end = first.action == packet_action::place ? first.at : chain.members[0].id;
+        hosts.agents.at(end)->record_response(make_response(syn.flow, packet_kind::segment), hosts.now);
+    }
+    CHECK(passed_on > 20);
+}
+
 // Flows must not be refused while the upstreams have free capacity.
 TEST_CASE("below the upstreams' capacity each flow is served in time at its first SYN")
 {
