control: Test disks that are full in turn, one after the other

A group of three gets changes while the disk of each member is full in turn. Afterwards every member takes part, and no acknowledged change is missing: the case that operators of a similar system reported. The storage's part is covered by full_disk_test; this covers the group's.

A lint finding in subscription_test is corrected.

--- a/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
@@ -11,8 +11,11 @@
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace ibisdyke;
 using namespace ibisdyke::replication;
@@ -228,6 +231,44 @@
     CHECK(blocked->group->members().size() == members_.size());
 }
 
+// Operators of a similar system have seen changes refused long after the last of several full disks had space again.
+TEST_CASE_METHOD(
+    group_fixture, "after disks were full in turn, every member takes part and no acknowledged change is lost")
+{
+    REQUIRE(wait_for([&] { return find_leader() != nullptr; }));
+    std::vector<std::string> acknowledged;
+    int sent = 0;
+    const auto submit_changes = [&](int n) {
+        for (int i = 0; i < n; ++i) {
+            if (!wait_for([&] { return find_leader() != nullptr; }))
+                return;
+            const auto name = "change-" + std::to_string(sent++);
+            const auto result = submit(*find_leader(), name);
+            if (result && result->status == submit_status::committed)
+                acknowledged.push_back(name);
+        }
+    };
+    for (const auto& full : members_) {
+        full->storage->is_full = true;
+        submit_changes(4);
+        full->storage->is_full = false;
+        submit_changes(2);
+    }
+    CHECK(acknowledged.size() >= 12);
+    REQUIRE(wait_for([&] { return find_leader() != nullptr; }));
+    CHECK(submit(*find_leader(), "last")->status == submit_status::committed);
+    acknowledged.emplace_back("last");
+    for (const auto& it : members_) {
+        CHECK_FALSE(it->failed);
+        CHECK(wait_for([&] {
+            const auto& profiles = it->group->state()->configuration.profiles;
+            return std::all_of(acknowledged.begin(), acknowledged.end(),
+                [&profiles](const auto& name) { return profiles.contains(name); });
+        }));
+        CHECK(wait_for([&] { return it->group->leader().has_value(); }));
+    }
+}
+
 TEST_CASE_METHOD(group_fixture, "a follower whose sync fails does not count for the majority")
 {
     REQUIRE(wait_for([&] { return find_leader() != nullptr; }));
@@ -275,7 +316,8 @@
 {
     // Kind 3 with one encoded usage report: source 7, neighbour "n", service "s", hour 5, 9 flows.
     const std::string report("\x09\x07\x00\x00\x00\x00\x00\x00\x00\x12\x0a\x0a\x01n\x12\x01s\x18\x05\x20\x09", 21);
-    const auto record = std::string("\x08\x03\x12\x15", 4) + report;
+    std::string record("\x08\x03\x12\x15", 4);
+    record.append(report);
     const auto decoded = frontends::wire::decode_control_command(record);
     CHECK(decoded
         == frontends::control_command(
--- a/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
@@ -150,6 +150,7 @@
     for (std::uint64_t i = 1; i <= 300; ++i)
         commit_profile(i);
     std::vector<std::unique_ptr<raw_subscriber>> returned;
+    returned.reserve(10);
     for (int i = 0; i < 10; ++i)
         returned.push_back(std::make_unique<raw_subscriber>(control.address(), core::version{1, 100}));
     for (const auto& it : returned) {
