--- a/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
+++ b/libraries/ibisdyke/frontends/discovery/heartbeat_sender.cpp
@@ -114,7 +114,7 @@
 }
 
 /// Without a leader, the other control processes usually know none either, and they need their processor time for the
-/// election. Only a few are asked in each period, in case that the one in use is cut off.
+/// election. Only a few are asked in each period, because the one in use may be cut off from a leader.
 void heartbeat_sender::fail_over_without_leader(const core::endpoint& failed)
 {
     if (resends_without_leader_left_ == 0)
--- a/libraries/ibisdyke/routing/backlog_monitor.h
+++ b/libraries/ibisdyke/routing/backlog_monitor.h
@@ -15,7 +15,7 @@
 /// Times must come from a clock that counts suspensions. Used by one thread.
 class backlog_monitor {
 public:
-    /// The thread must have stood still for longer than this. Shorter gaps are normal for a process whose processor
+    /// A gap counts as a stall only if it is longer than this. Shorter gaps are normal for a process whose processor
     /// time is limited.
     static constexpr core::milliseconds min_stall{150};
 
