dissemination: Take the longer pauses between attempts out again

Cause: attempts every 100 ms instead of 50 to 60 ms were meant to let control processes start sooner after a loss of power.

Change: both times are as before, 50 and 60 ms.

Run: dissemination_tests and frontends_control_tests, all green.

--- a/libraries/ibisdyke/dissemination/subscription_monitor.h
+++ b/libraries/ibisdyke/dissemination/subscription_monitor.h
@@ -16,7 +16,7 @@
     /// first_message_limit().
     core::milliseconds max_first_message{1000};
     /// Shortest wait for the first message, used after few failures; see first_message_limit().
-    core::milliseconds min_first_message{100};
+    core::milliseconds min_first_message{60};
     /// The same for a subscriber that has a state, which can work on for a while, and for a subscription whose
     /// connection is established. When all subscribers of a fleet come at once, short waits keep a slow control process
     /// busy with subscriptions that are given up.
--- a/libraries/ibisdyke/dissemination/tests/subscription_monitor_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/subscription_monitor_test.cpp
@@ -114,9 +114,9 @@
 TEST_CASE("the wait for a first message grows with the failures and is longer with a state")
 {
     const subscription_limits limits;
-    CHECK(first_message_limit(limits, 0, false) == 100ms);
-    CHECK(first_message_limit(limits, 5, false) == 100ms);
-    CHECK(first_message_limit(limits, 6, false) == 200ms);
+    CHECK(first_message_limit(limits, 0, false) == 60ms);
+    CHECK(first_message_limit(limits, 5, false) == 60ms);
+    CHECK(first_message_limit(limits, 6, false) == 120ms);
     CHECK(first_message_limit(limits, 1000, false) == limits.max_first_message);
     CHECK(first_message_limit(limits, 0, true) == 500ms);
     CHECK(first_message_limit(limits, 6, true) == limits.max_first_message);
@@ -128,8 +128,8 @@
 {
     const core::time_point start{100s};
     subscription_monitor monitor(limits_after_failures({}, 0, false), start);
-    CHECK(monitor.state({}, start + 99ms) == subscription_state::opening);
-    CHECK(monitor.state({}, start + 100ms) == subscription_state::silent);
+    CHECK(monitor.state({}, start + 59ms) == subscription_state::opening);
+    CHECK(monitor.state({}, start + 60ms) == subscription_state::silent);
     monitor.on_connected();
     CHECK(monitor.state({}, start + 499ms) == subscription_state::opening);
     CHECK(monitor.state({}, start + 500ms) == subscription_state::silent);
--- a/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
+++ b/libraries/ibisdyke/frontends/discovery/state_subscriber.cpp
@@ -23,10 +23,8 @@
 /// current source tries one source per second.
 constexpr core::milliseconds min_subscription_time{1000};
 
-/// Delay before the next attempt after a source that failed immediately, for example because its port was closed. After
-/// a loss of power, a whole fleet waits for few control processes, which each attempt costs processor time at their
-/// start.
-constexpr core::milliseconds retry_pause{100};
+/// Delay before the next attempt after a source that failed immediately, for example because its port was closed.
+constexpr core::milliseconds retry_pause{50};
 
 /// Each relay adds this to the age of the state, in addition to the time that has passed. The age therefore grows in a
 /// cycle of relays, however fast they forward keep-alives.
