--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""One configuration changes the weights of a route from eight services to one of them. Each service has one host, and
-all hosts live. A flow that is open at one of the other seven hosts is reset by the system."""
+"""An agent stands still three times within a minute. A flow that opened between the second and the third time, and was
+idle meanwhile, is reset although its host lives and the last disturbance is more than contact-ms ago."""
 
 import os
+import signal
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -9,13 +10,14 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from standin import *
 
-CONFIG_S = 3.0
+FREEZE_S = 3.5  # At most 4 s, the length of node_freeze on the site's list of disturbances.
+GAP_S = 8.0
+CONTACT_S = 4.0
 
 
 def play(case):
     record = case.record
-    services = [f"desk-{i}" for i in range(1, 9)]
-    deployment = Deployment(record, {s: 1 for s in services})
+    deployment = Deployment(record, {"desk": 3})
     case.cleanup.append(deployment)
     deployment.start()
     hosts = [Host(deployment, side, record) for side in deployment.sides]
@@ -23,42 +25,48 @@
     network = Network(deployment, record)
     case.cleanup.append(network)
     operator = Operator(deployment)
-    address = ("127.254.0.1", 443)
+    service = ("127.254.0.1", 443)
+    plan = configuration(7, [("r-feed", *service, "idempotent", "desk")], ["desk"])
+    status, _ = operator.order("PUT", "/api/config", json.dumps(plan), 15)
+    if status != 200:
+        raise CannotRun("the first configuration was not acknowledged")
+    wait_until(lambda: all(network.ready.values()), 10, "the balancers are not ready")
+    time.sleep(3)
 
-    def put(version, split):
-        plan = configuration(version, [("r-feed", *address, "idempotent", split)], services)
-        status, _ = operator.order("PUT", "/api/config", json.dumps(plan), 15)
-        if status != 200:
-            raise CannotRun(f"version {version} was not acknowledged")
-        record.write(f"version {version} is acknowledged: the weights are {split}")
+    victim, agent = hosts[0], deployment.processes[hosts[0].name]
 
-    put(7, {s: 10 for s in services})
-    wait_until(lambda: all(network.ready.values()), 10, "the balancers are not ready")
-    time.sleep(4)
+    def freeze():
+        if case.trouble:
+            agent.signal(signal.SIGSTOP)
+        time.sleep(FREEZE_S)
+        if case.trouble:
+            agent.signal(signal.SIGCONT)
+        return time.monotonic()
+
+    for _ in range(2):
+        freeze()
+        time.sleep(GAP_S)
 
-    flows = [network.open(address) for _ in range(80)]
+    flows = [network.open(service) for _ in range(40)]
     with ThreadPoolExecutor(len(flows)) as pool:
-        list(pool.map(lambda f: f.connect(), flows))
+        opened = list(pool.map(lambda f: f.connect(), flows))
         first = list(pool.map(lambda f: f.request(f"first-{f.own[1]}") if f.is_open else None, flows))
-    served = [f for f, answer in zip(flows, first) if answer]
-    for host in hosts:
-        record.write(f"{host.name} holds {sum((f.own, address) in host.flows for f in served)} flows")
-    if len(served) < 60:
-        raise CannotRun("too few flows are open")
+    mine = [f for f, answer in zip(flows, first) if answer and (f.own, service) in victim.flows]
+    record.write(f"{sum(opened)} of {len(flows)} flows open, {len(mine)} of them at {victim.name}")
+    if len(mine) < 3:
+        raise CannotRun("too few flows at the host")
 
-    weights = {services[0]: 100}
-    put(9, weights if case.trouble else {s: 10 for s in services})
-    time.sleep(CONFIG_S)
-    record.write("each flow sends its next request")
-    with ThreadPoolExecutor(len(served)) as pool:
-        list(pool.map(lambda f: f.request(f"second-{f.own[1]}", 6.0), served))
-    broken = [f for f in served if f.reset_at and not f.reset_by_host]
-    answered = sum(1 for f in served if len(f.answers) == 2)
-    for host in hosts:
-        mine = [f for f in served if (f.own, address) in host.flows]
-        record.write(f"{host.name} lives and holds {len(mine)} flows; the system has reset"
-                     f" {sum(f in broken for f in mine)} of them")
-    record.write(f"{answered} of {len(served)} flows were answered, {len(broken)} were reset by the system")
+    thawed = freeze()
+    time.sleep(CONTACT_S + 0.2)
+    record.write(f"{CONTACT_S + 0.2} s after the last disturbance: each flow at {victim.name} sends its next request")
+    with ThreadPoolExecutor(len(mine)) as pool:
+        list(pool.map(lambda f: f.request(f"second-{f.own[1]}", 6.0), mine))
+    if deployment.processes[victim.name].has_ended():
+        raise CannotRun("the agent has ended")
+    broken = [f for f in mine if f.reset_at and not f.reset_by_host and f.reset_at > thawed + CONTACT_S]
+    answered = sum(1 for f in mine if len(f.answers) == 2)
+    record.write(f"{victim.name} lives and holds {sum((f.own, service) in victim.flows for f in mine)} of these flows;"
+                 f" {answered} of {len(mine)} were answered, {len(broken)} were reset by the system")
     return bool(broken)
 
 
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -346,6 +346,7 @@
         self.acks = {}
         self.running = True
         self.answers = True
+        self.received = []
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
         self.sock.bind((self.ip, APP_PORT))
@@ -408,8 +409,20 @@
                 continue
             self.handle(packet)
 
+    def leave(self):
+        """Tells that the host has stopped, and ends."""
+        try:
+            connection = http.client.HTTPConnection(self.ip, CONTROL_PORT, timeout=1.0)
+            connection.request("DELETE", f"/api/instances/{self.id}")
+            connection.getresponse().read()
+            connection.close()
+        except (OSError, http.client.HTTPException):
+            pass
+        self.stop()
+
     def handle(self, packet):
         key = (packet.src, packet.dst)
+        self.received.append((time.monotonic(), key))
         known = self.flows.get(key)
         if packet.flags & SYN:
             if known is None:
