--- a/libraries/ibisdyke/configuration/route_plan.cpp
+++ b/libraries/ibisdyke/configuration/route_plan.cpp
@@ -1,9 +1,11 @@
 #include "ibisdyke/configuration/route_plan.h"
 
+#include "ibisdyke/configuration/plan_text.h"
 #include "ibisdyke/configuration/validation.h"
 #include "ibisdyke/core/error.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace ibisdyke::configuration {
@@ -17,21 +19,54 @@
 /// them, so that services created by one record have different ids.
 constexpr unsigned service_number_shift = 48;
 
-std::string field_path(const char* list, std::size_t i, const char* field)
+using detail::field_path;
+
+void find_service_errors(const std::vector<planned_service>& services, std::vector<plan_finding>& result)
 {
-    return std::string(list) + "[" + std::to_string(i) + "]." + field;
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        const auto& name = services[i].name;
+        const auto path = field_path("services", i, "name");
+        if (!is_valid_name(name))
+            result.push_back({plan_finding_kind::invalid_service_name, path, name, name, valid_name});
+        if (!names.insert(name).second)
+            result.push_back({plan_finding_kind::duplicate_service, path, name, name, "a name that no other has"});
+    }
 }
 
-void validate_targets(const planned_route& it, std::size_t i, const std::set<std::string>& services)
+void find_target_errors(
+    const planned_route& it, std::size_t i, const std::set<std::string>& services, std::vector<plan_finding>& result)
 {
+    const auto path = field_path("routes", i, "targets");
     std::uint64_t total = 0;
     for (const auto& target : it.targets) {
         if (!services.contains(target.service))
-            throw core::invalid_input(field_path("routes", i, "targets"), target.service, "a service of the plan");
+            result.push_back(
+                {plan_finding_kind::unknown_service, path, it.name, target.service, "a service of the plan"});
         total += target.weight;
     }
     if (total == 0)
-        throw core::invalid_input(field_path("routes", i, "targets"), it.name, "a target with a weight above 0");
+        result.push_back({plan_finding_kind::no_weight, path, it.name, it.name, "a target with a weight above 0"});
+}
+
+void find_route_errors(const route_plan& plan, std::vector<plan_finding>& result)
+{
+    std::set<std::string> services;
+    for (const auto& it : plan.services)
+        services.insert(it.name);
+    std::map<service_address, std::string> addresses;
+    for (std::size_t i = 0; i < plan.routes.size(); ++i) {
+        const auto& route = plan.routes[i];
+        const auto [other, added] = addresses.emplace(route.address, route.name);
+        if (!added)
+            result.push_back({plan_finding_kind::duplicate_address, field_path("routes", i, "address"), route.name,
+                core::to_string(route.address.address),
+                "an address that route \"" + other->second + "\" does not have"});
+        if (route.request_timeout <= core::milliseconds{0})
+            result.push_back({plan_finding_kind::invalid_request_timeout, field_path("routes", i, "request_timeout"),
+                route.name, detail::time_text(route.request_timeout), "a time above 0"});
+        find_target_errors(route, i, services, result);
+    }
 }
 
 const service* find_service(const configuration_state& state, const std::string& name)
@@ -135,27 +170,21 @@
 
 } // namespace
 
+std::vector<plan_finding> find_errors(const route_plan& plan)
+{
+    std::vector<plan_finding> result;
+    if (plan.revision == 0)
+        result.push_back({plan_finding_kind::invalid_revision, "revision", "", "0", "a number above 0"});
+    find_service_errors(plan.services, result);
+    find_route_errors(plan, result);
+    return result;
+}
+
 void validate(const route_plan& it)
 {
-    if (it.revision == 0)
-        throw core::invalid_input("revision", "0", "a number above 0");
-    std::set<std::string> services;
-    for (std::size_t i = 0; i < it.services.size(); ++i) {
-        validate_name(field_path("services", i, "name"), it.services[i].name);
-        if (!services.insert(it.services[i].name).second)
-            throw core::invalid_input(
-                field_path("services", i, "name"), it.services[i].name, "a name that no other has");
-    }
-    std::set<service_address> addresses;
-    for (std::size_t i = 0; i < it.routes.size(); ++i) {
-        const auto& route = it.routes[i];
-        if (!addresses.insert(route.address).second)
-            throw core::invalid_input(
-                field_path("routes", i, "address"), core::to_string(route.address.address), "an address of one route");
-        if (route.request_timeout <= core::milliseconds{0})
-            throw core::invalid_input(field_path("routes", i, "request_timeout"), "0", "a time above 0");
-        validate_targets(route, i, services);
-    }
+    const auto errors = find_errors(it);
+    if (!errors.empty())
+        throw core::invalid_input(errors.front().path, errors.front().value, errors.front().expected);
 }
 
 change_route_plan make_route_plan_change(const configuration_state& state, const plan_document& current,
--- a/libraries/ibisdyke/configuration/route_plan.h
+++ b/libraries/ibisdyke/configuration/route_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/configuration/configuration_state.h"
+#include "ibisdyke/configuration/plan_finding.h"
 #include "ibisdyke/configuration/text_patch.h"
 #include "ibisdyke/core/version.h"
 
@@ -78,9 +79,12 @@
     friend bool operator==(const plan_document&, const plan_document&) = default;
 };
 
-/// Throws core::invalid_input with the invalid field if the revision is 0, a service name is not allowed or not unique,
+/// Returns an error for each value that is not allowed: the revision is 0, a service name is not allowed or not unique,
 /// a target is not a service of the plan, two routes have the same address, a request timeout is 0, or all weights of a
 /// route are 0.
+std::vector<plan_finding> find_errors(const route_plan& plan);
+
+/// Throws core::invalid_input with the first of these errors.
 void validate(const route_plan& it);
 
 /// Returns the change from the current plan to `next`. `current` is the document of the current plan.
--- a/libraries/ibisdyke/configuration/validation.cpp
+++ b/libraries/ibisdyke/configuration/validation.cpp
@@ -64,10 +64,15 @@
 
 } // namespace
 
+bool is_valid_name(const std::string& name)
+{
+    return !name.empty() && name.size() <= max_name_length && std::all_of(name.begin(), name.end(), is_name_character);
+}
+
 void validate_name(const std::string& field, const std::string& name)
 {
-    if (name.empty() || name.size() > max_name_length || !std::all_of(name.begin(), name.end(), is_name_character))
-        throw core::invalid_input(field, name, "1 to 64 letters, digits, dots, underscores or hyphens");
+    if (!is_valid_name(name))
+        throw core::invalid_input(field, name, valid_name);
 }
 
 void validate(const profile& it)
