ibisdykectl: Add "plan check"

Cause: the check of route plans needs a command. Operators write plans in the document of the deployment's platform, whose field names only platform/ may know.

Ruled out: a JSON form of route plans of the product's own, which no deployment would use; a reader in the utility, which would bring the platform's names there.

Change: frontends::front_end::read_plan() reads the document; the IP front end has none and says so. Exit codes: 0, 1 for findings of severity error, 2 for input that cannot be checked. The utility links the factory of front ends that the daemons use. read_file() moved from document_commands.cpp to a file of its own.

Not done: reading the plan in force from the control group.

--- a/libraries/ibisdyke/frontends/process/front_end.h
+++ b/libraries/ibisdyke/frontends/process/front_end.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "ibisdyke/configuration/route_plan.h"
 #include "ibisdyke/core/endpoint.h"
 #include "ibisdyke/frontends/administration/admin_server.h"
 #include "ibisdyke/frontends/control/route_plan_service.h"
 #include "ibisdyke/frontends/packets/packet_format.h"
 #include "ibisdyke/membership/upstream_presence.h"
 
+#include <QByteArray>
+
 #include <memory>
 #include <string>
 
@@ -37,6 +40,11 @@
     /// without the agent.
     virtual std::shared_ptr<const upstream_packet_format> upstreams() const = 0;
 
+    /// Parses the document in which operators write a route plan. The values are validated separately by
+    /// configuration::validate(). Throws core::invalid_input when a field is missing or malformed, or when the front
+    /// end has no such documents.
+    virtual configuration::route_plan read_plan(const QByteArray& document) const = 0;
+
     /// The following functions add HTTP routes to `server`. Whatever their other argument refers to must outlive the
     /// server.
     virtual void serve_health(QHttpServer& server, admin_server::health_check check) const = 0;
@@ -49,6 +57,7 @@
 public:
     std::shared_ptr<const packet_format> callers(const core::endpoint& return_endpoint) const override;
     std::shared_ptr<const upstream_packet_format> upstreams() const override { return nullptr; }
+    configuration::route_plan read_plan(const QByteArray& document) const override;
     void serve_health(QHttpServer& /*server*/, admin_server::health_check /*check*/) const override { }
     void serve_announcements(QHttpServer& /*server*/, announcement_sink& /*sink*/) const override { }
     void serve_operators(QHttpServer& /*server*/, route_plan_service& /*plans*/) const override { }
--- a/services/common/front_ends.cpp
+++ b/services/common/front_ends.cpp
@@ -1,5 +1,6 @@
 #include "front_ends.h"
 
+#include "ibisdyke/core/error.h"
 #include "platform/front_end.h"
 
 namespace ibisdyke {
@@ -16,11 +17,18 @@
     parser.add_choice("front-end", "Protocols of callers, upstreams and operators", {ip, platform_name});
 }
 
-std::unique_ptr<frontends::front_end> create_front_end(const settings::setting_values& values)
+std::unique_ptr<frontends::front_end> create_front_end(const std::string& name)
 {
-    if (values.text("front-end") == platform_name)
+    if (name == platform_name)
         return std::make_unique<platform::front_end>();
-    return std::make_unique<frontends::ip_front_end>();
+    if (name == ip)
+        return std::make_unique<frontends::ip_front_end>();
+    throw core::invalid_input("front-end", name, std::string("one of: ") + ip + ", " + platform_name);
+}
+
+std::unique_ptr<frontends::front_end> create_front_end(const settings::setting_values& values)
+{
+    return create_front_end(values.text("front-end"));
 }
 
 } // namespace ibisdyke
--- a/utilities/ibisdykectl/commands.cpp
+++ b/utilities/ibisdykectl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "command_session.h"
 #include "document_commands.h"
+#include "plan_commands.h"
 #include "text_table.h"
 
 #include "ibisdyke/configuration/token_digest.h"
@@ -194,6 +195,7 @@
         {"profile", "check", "FILE", 1, &profile_check},
         {"profile", "diff", "FILE", 1, &profile_diff},
         {"profile", "remove", "NAME", 1, &profile_remove},
+        {"plan", "check", "FILE --front-end NAME [--against FILE]", 1, &plan_check},
         {"service", "list", "", 0, &service_list},
         {"service", "put", "FILE", 1, &service_put},
         {"service", "remove", "NAME", 1, &service_remove},
--- a/utilities/ibisdykectl/commands.h
+++ b/utilities/ibisdykectl/commands.h
@@ -12,6 +12,7 @@
 /// Exit codes of ibisdykectl.
 enum class ctl_exit_code : int {
     success = 0,
+    /// The command failed, or a check has found an error.
     failure = 1,
     /// A setting, argument or document is invalid.
     bad_input = 2,
@@ -34,6 +35,10 @@
     std::string neighbour;
     std::string role;
     std::string command_id;
+    /// The front end that reads documents of route plans.
+    std::string front_end;
+    /// File with the route plan in force; empty if a plan is checked by itself.
+    std::string against;
 };
 
 /// Runs the command. Writes results to standard output and errors to standard error. Throws core::invalid_input for an
--- a/utilities/ibisdykectl/document_commands.cpp
+++ b/utilities/ibisdykectl/document_commands.cpp
@@ -1,12 +1,12 @@
 #include "document_commands.h"
 
+#include "input_file.h"
 #include "text_table.h"
 
 #include "ibisdyke/configuration/validation.h"
 #include "ibisdyke/configuration/wire/json_codec.h"
 #include "ibisdyke/core/error.h"
 
-#include <QFile>
 #include <QJsonDocument>
 
 #include <iostream>
@@ -17,12 +17,8 @@
 
 QJsonObject read_document(const std::string& name)
 {
-    QFile file(QString::fromStdString(name));
-    const bool opened = name == "-" ? file.open(stdin, QIODevice::ReadOnly) : file.open(QIODevice::ReadOnly);
-    if (!opened)
-        throw core::invalid_input("FILE", name, "a readable file (" + file.errorString().toStdString() + ")");
     QJsonParseError error;
-    const auto document = QJsonDocument::fromJson(file.readAll(), &error);
+    const auto document = QJsonDocument::fromJson(read_file(name), &error);
     if (!document.isObject())
         throw core::invalid_input("FILE", name,
             "a JSON object (" + error.errorString().toStdString() + " at byte " + std::to_string(error.offset) + ")");
--- a/utilities/ibisdykectl/main.cpp
+++ b/utilities/ibisdykectl/main.cpp
@@ -69,6 +69,8 @@
     options.add_options()("neighbour", "Owner of a token", value());
     options.add_options()("role", "Role of a token: caller, read, operate or administer", value());
     options.add_options()("command-id", "Id of the command, to send it again by hand", value());
+    options.add_options()("front-end", "Front end that reads route plans: ip or platform (ip)", value());
+    options.add_options()("against", "File with the route plan in force", value());
     options.add_options()("help", "Show this help and exit")("version", "Show the version and exit");
     options.add_options("positional")("arguments", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"arguments"});
@@ -96,6 +98,8 @@
     result.neighbour = value_of(parsed, "neighbour");
     result.role = value_of(parsed, "role");
     result.command_id = value_of(parsed, "command-id");
+    result.front_end = value_of(parsed, "front-end");
+    result.against = value_of(parsed, "against");
     return result;
 }
 
