configuration: Compare the content of equal revisions by value

Cause: the check took a plan with the revision in force for the same plan if diff() was empty. A property that diff() does not list yet would hide a conflict of revisions.

Change: both plans are compared by value, with routes sorted by address and services by name.

--- a/libraries/ibisdyke/configuration/plan_check.cpp
+++ b/libraries/ibisdyke/configuration/plan_check.cpp
@@ -1,6 +1,5 @@
 #include "ibisdyke/configuration/plan_check.h"
 
-#include "ibisdyke/configuration/plan_diff.h"
 #include "ibisdyke/configuration/plan_text.h"
 
 #include <algorithm>
@@ -99,6 +98,17 @@
     }
 }
 
+/// Returns the plan without its revision, with routes and services in an order that depends only on their content.
+route_plan normalized(route_plan plan)
+{
+    plan.revision = 0;
+    std::stable_sort(
+        plan.routes.begin(), plan.routes.end(), [](const auto& a, const auto& b) { return a.address < b.address; });
+    std::stable_sort(
+        plan.services.begin(), plan.services.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
+    return plan;
+}
+
 void check_revision(const route_plan& plan, const route_plan& in_force, findings& result)
 {
     if (plan.revision > in_force.revision)
@@ -107,7 +117,7 @@
     const auto expected = "above " + std::to_string(in_force.revision) + ", the revision in force; this plan ";
     if (plan.revision < in_force.revision)
         result.push_back({kind::outdated_revision, "revision", "", value, expected + "would change nothing"});
-    else if (!diff(in_force, plan).empty())
+    else if (normalized(plan) != normalized(in_force))
         result.push_back(
             {kind::revision_conflict, "revision", "", value, expected + "has other content and would change nothing"});
     else
