configuration: Test two conditions of the plan check

Cause: the conditions of the check were broken on purpose, one at a time. All turned a test red but one: that times are not compared when the request timeout is 0, which validation reports. The order of services had no test either.

--- a/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
+++ b/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
@@ -63,6 +63,7 @@
     plan.routes[0].targets = {{"nobody", 1}, {"desk", 1}, {"store", 1}, {"no one", 1}};
     plan.routes[1].address = at_port(443);
     plan.routes[1].request_timeout = 0ms;
+    plan.routes[1].latency_target = 100ms;
     plan.routes[1].targets[0].weight = 0;
     const auto found = check_plan(plan);
     CHECK(summary(found)
@@ -132,6 +133,8 @@
     CHECK_FALSE(has_errors(check_plan(plan, in_force)));
     std::swap(plan.routes[0], plan.routes[1]);
     CHECK(summary(check_plan(plan, in_force)) == lines{"already_in_force revision"});
+    std::swap(plan.services[0], plan.services[1]);
+    CHECK(summary(check_plan(plan, in_force)) == lines{"already_in_force revision"});
     plan.routes[0].request_timeout = 6s;
     CHECK(summary(check_plan(plan, in_force)) == lines{"revision_conflict revision"});
     CHECK(has_errors(check_plan(plan, in_force)));
