measure: Draw bursts of load and rolling replacements in random schedules

The random schedule had faults, but no change of the load and no series of restarts: no run showed what a burst of one kind of load or a service whose upstreams are all in cold start does to the guarantees.

A trace event `load` sets the rate of new flows or requests to a multiple of the topology's rate. The random schedule draws bursts of either kind (3 to 6 times the rate for 1 to 3 s) and replaces the upstreams of a third service one after another, each started before the open flows of its predecessor have ended. The weights of a split route are not changed: the administration API takes no route plans.

--- a/utilities/measure/experiments/event_runner.cpp
+++ b/utilities/measure/experiments/event_runner.cpp
@@ -13,6 +13,10 @@
 const std::string agent_prefix = "agent-";
 const std::string upstream_prefix = "upstream-";
 
+// Targets of verb::load.
+const std::string flow_load_name = "flows";
+const std::string request_load_name = "requests";
+
 // Time that an agent has to notice a cold start without a restart, which it detects only by the upstream's answers.
 constexpr core::milliseconds unannounced_cold_grace{1000};
 
@@ -65,6 +69,9 @@
         expand_names(it.b, system_.instances());
     } else if (is_domain_verb(it.what)) {
         expand_names({it.target}, system_.instances());
+    } else if (it.what == verb::load) {
+        if (it.target != flow_load_name && it.target != request_load_name)
+            throw core::invalid_input("target", it.target, flow_load_name + " or " + request_load_name);
     } else if (it.what != verb::apply) {
         const auto& named = system_.processes().find(instance_name(it.target));
         if (targets_upstream_only(it.target)
@@ -104,6 +111,9 @@
     case verb::apply:
         commands_.apply(it);
         return;
+    case verb::load:
+        run_on_load(it);
+        return;
     default:
         run_on_process(it);
     }
@@ -189,6 +199,14 @@
     }
 }
 
+void event_runner::run_on_load(const trace_event& it)
+{
+    if (it.target == flow_load_name)
+        system_.flows().call([&](auto& load) { load.set_rate_factor(it.rate_factor); });
+    else
+        system_.requests().call([&](auto& load) { load.set_rate_factor(it.rate_factor); });
+}
+
 void event_runner::kill(const std::string& name, bool with_upstream)
 {
     stopping_.erase(name);
--- a/utilities/measure/experiments/event_runner.h
+++ b/utilities/measure/experiments/event_runner.h
@@ -28,6 +28,7 @@
     void run_on_process(const trace_event& it);
     void run_on_upstream(const trace_event& it, const std::string& name);
     void run_on_links(const trace_event& it);
+    void run_on_load(const trace_event& it);
     void kill(const std::string& name, bool with_upstream);
     void stop(const std::string& name, bool with_upstream);
     void start(const std::string& name, bool with_upstream);
--- a/utilities/measure/experiments/random_schedule.cpp
+++ b/utilities/measure/experiments/random_schedule.cpp
@@ -13,11 +13,32 @@
 constexpr std::uint32_t domains = 3;
 constexpr std::uint32_t upstreams_a = 6;
 constexpr std::uint32_t upstreams_b = 3;
+constexpr std::uint32_t upstreams_c = 4;
 
 // No fault begins in the last part of a run, so that the effects of all faults are seen.
 constexpr core::milliseconds quiet_end{4000};
 constexpr core::milliseconds first_event{2000};
 
+// In a rolling replacement, the time from the stop of one upstream to that of the next, and until the new one starts.
+constexpr core::milliseconds replacement_interval{1500};
+constexpr core::milliseconds replacement_time{1000};
+
+enum class fault_kind : std::uint8_t {
+    balancer_kill,
+    control_failure,
+    upstream_kill,
+    upstream_drain,
+    domain_out,
+    link_faults,
+    control_partition,
+    cold_start,
+    profile_change,
+    load_burst,
+    rolling_replacement,
+};
+
+constexpr int fault_kinds = 11;
+
 topology sample_deployment(std::uint64_t seed, double seconds)
 {
     topology it;
@@ -30,7 +51,10 @@
     service_spec b;
     b.name = "b";
     b.upstreams = upstreams_b;
-    it.services = {a, b};
+    service_spec c;
+    c.name = "c";
+    c.upstreams = upstreams_c;
+    it.services = {a, b, c};
     it.flows_per_s = 30;
     it.flow_s = seconds;
     it.requests_per_s = 40;
@@ -59,51 +83,79 @@
 private:
     void add_fault(core::milliseconds at)
     {
-        constexpr int kinds = 9;
         constexpr int first_draining = upstreams_a / 2;
-        constexpr int control_kind = 1;
-        constexpr int partition_kind = 6;
-        const auto kind = draw(kinds);
+        const auto kind = static_cast<fault_kind>(draw(fault_kinds));
         // Control processes that are killed, paused or partitioned share one entry, because the control group tolerates
         // the loss of only one process at a time.
-        auto& next_allowed_at = next_allowed_at_[kind == partition_kind ? control_kind : kind];
+        auto& next_allowed_at =
+            next_allowed_at_[kind == fault_kind::control_partition ? fault_kind::control_failure : kind];
         if (at < next_allowed_at)
             return;
-        const auto until = at + draw_ms(1000, 3000);
-        next_allowed_at = until + core::milliseconds(2000);
+        auto until = at + draw_ms(1000, 3000);
         switch (kind) {
-        case 0:
+        case fault_kind::balancer_kill:
             add_pair(at, verb::kill, until, verb::start, name("balancer", balancers));
             break;
-        case control_kind:
+        case fault_kind::control_failure:
             if (draw(2) == 0)
                 add_pair(at, verb::kill, until, verb::start, name("control", control));
             else
                 add_pair(at, verb::pause, until, verb::resume, name("control", control));
             break;
-        case 2:
+        case fault_kind::upstream_kill:
             // Kills only upstreams of the first half of service a, because those of the second half are drained.
             add_pair(at, verb::kill, until, verb::start, name("a", upstreams_a / 2));
             break;
-        case 3:
+        case fault_kind::upstream_drain:
             add_pair(
                 at, verb::drain, until, verb::undrain, "a-" + std::to_string(first_draining + draw(first_draining)));
             break;
-        case 4:
+        case fault_kind::domain_out:
             add_pair(at, verb::domain_out, until, verb::domain_in, name("domain", domains));
             break;
-        case 5:
+        case fault_kind::link_faults:
             add_link(at, until);
             break;
-        case partition_kind:
+        case fault_kind::control_partition:
             add_partition(at, until);
             break;
-        case 7:
+        case fault_kind::cold_start:
             add({at, verb::cold, name("b", upstreams_b), {}, {}, {}, {}, {}, {}});
             break;
-        default:
+        case fault_kind::profile_change:
             add({at, verb::apply, "default", {}, {}, {}, {}, {}, {}});
+            break;
+        case fault_kind::load_burst:
+            add_burst(at, until);
+            break;
+        case fault_kind::rolling_replacement:
+            until = add_replacements(at);
+            break;
+        }
+        next_allowed_at = until + core::milliseconds(2000);
+    }
+
+    /// Multiplies the rate of new flows or of requests, while the other rate stays.
+    void add_burst(core::milliseconds at, core::milliseconds until)
+    {
+        const std::string load = draw(2) == 0 ? "flows" : "requests";
+        const double rate_factor = 3 + draw(4);
+        add({at, verb::load, load, {}, {}, {}, {}, {}, {}, rate_factor});
+        add({until, verb::load, load, {}, {}, {}, {}, {}, {}, 1});
+    }
+
+    /// Stops the upstreams of service c one after another and starts a new process in place of each, so that soon all
+    /// of the service's upstreams are in cold start. The new process is started before the open flows have ended.
+    /// Returns the start of the last one.
+    core::milliseconds add_replacements(core::milliseconds at)
+    {
+        auto last_start = at;
+        for (std::uint32_t i = 0; i < upstreams_c && at < end_; ++i) {
+            last_start = at + replacement_time;
+            add_pair(at, verb::stop, last_start, verb::start, "c-" + std::to_string(i));
+            at += replacement_interval;
         }
+        return last_start;
     }
 
     void add_link(core::milliseconds at, core::milliseconds until)
@@ -142,7 +194,7 @@
 
     std::mt19937_64 random_;
     core::milliseconds end_;
-    std::map<int, core::milliseconds> next_allowed_at_;
+    std::map<fault_kind, core::milliseconds> next_allowed_at_;
     std::vector<trace_event> events_;
 };
 
--- a/utilities/measure/flows/flow_caller.cpp
+++ b/utilities/measure/flows/flow_caller.cpp
@@ -57,7 +57,7 @@
 {
     const auto now = read_clock();
     const auto elapsed_s = std::chrono::duration<double>(now - last_tick_).count();
-    due_flows_ += elapsed_s * deployment_.flows_per_s;
+    due_flows_ += elapsed_s * deployment_.flows_per_s * rate_factor_;
     due_flood_ += elapsed_s * deployment_.flood_per_s;
     last_tick_ = now;
     for (; due_flood_ >= 1; due_flood_ -= 1) {
--- a/utilities/measure/flows/flow_caller.h
+++ b/utilities/measure/flows/flow_caller.h
@@ -33,6 +33,8 @@
     void start();
     /// Opens no more flows; established flows continue.
     void stop_opening() { opens_new_flows_ = false; }
+    /// Opens new flows at this multiple of the topology's rate from now on.
+    void set_rate_factor(double it) { rate_factor_ = it; }
 
     flow_counts counts() const { return counts_; }
 
@@ -54,6 +56,7 @@
     std::mt19937_64 random_;
     QTimer timer_;
     bool opens_new_flows_ = true;
+    double rate_factor_ = 1;
     core::time_point last_tick_;
     double due_flows_ = 0;
     double due_flood_ = 0;
--- a/utilities/measure/requests/request_caller.cpp
+++ b/utilities/measure/requests/request_caller.cpp
@@ -165,7 +165,8 @@
 void request_caller::tick()
 {
     const auto now = read_clock();
-    due_requests_ += std::chrono::duration<double>(now - last_tick_).count() * deployment_.requests_per_s;
+    const auto elapsed_s = std::chrono::duration<double>(now - last_tick_).count();
+    due_requests_ += elapsed_s * deployment_.requests_per_s * rate_factor_;
     last_tick_ = now;
     for (; due_requests_ >= 1; due_requests_ -= 1) {
         if (opens_new_requests_)
--- a/utilities/measure/requests/request_caller.h
+++ b/utilities/measure/requests/request_caller.h
@@ -46,6 +46,8 @@
     void start();
     /// Opens no more requests; outstanding requests continue.
     void stop_opening() { opens_new_requests_ = false; }
+    /// Opens new requests at this multiple of the topology's rate from now on.
+    void set_rate_factor(double it) { rate_factor_ = it; }
     std::size_t outstanding() const { return requests_.size(); }
 
     const std::vector<request_record>& records() const { return records_; }
@@ -72,6 +74,7 @@
     std::mt19937_64 random_;
     QTimer timer_;
     bool opens_new_requests_ = true;
+    double rate_factor_ = 1;
     core::time_point last_tick_;
     double due_requests_ = 0;
     std::uint64_t next_id_ = 0;
--- a/utilities/measure/requests/request_load.h
+++ b/utilities/measure/requests/request_load.h
@@ -44,6 +44,7 @@
 
     void start() { caller_.start(); }
     void stop_opening() { caller_.stop_opening(); }
+    void set_rate_factor(double it) { caller_.set_rate_factor(it); }
     std::size_t outstanding() const { return caller_.outstanding(); }
 
     upstream_requests& upstream(const std::string& name) { return *upstreams_.at(name); }
--- a/utilities/measure/tests/trace_test.cpp
+++ b/utilities/measure/tests/trace_test.cpp
@@ -4,6 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <set>
+#include <string>
+
 using namespace ibisdyke::measure;
 
 namespace {
@@ -30,7 +34,7 @@
 {
     const auto* const text = GENERATE(R"({"at_ms":1,"do":"explode","target":"balancer-0"})",
         R"({"at_ms":1,"do":"kill","target":"balancer-0","when":3})", R"({"expect":{"broken_flow":{"max":0}}})",
-        R"({"at_ms":1,"do":"kill"})", "not JSON");
+        R"({"at_ms":1,"do":"kill"})", R"({"at_ms":1,"do":"kill","target":"balancer-0","rate_factor":3})", "not JSON");
     CHECK_THROWS_WITH(trace::create(first_line + "\n" + text), Catch::Contains("line 2"));
 }
 
@@ -50,3 +54,28 @@
     CHECK_FALSE(it.events == create_random_trace(8, 30).events);
     CHECK(trace::create(QByteArray::fromStdString(to_text(it))) == it);
 }
+
+// The long soak draws its schedules from this list. A kind that no seed contains would not be tested.
+TEST_CASE("random traces contain bursts of each kind of load and replacements of all upstreams of a service")
+{
+    std::map<std::string, int> bursts;
+    int replaced_services = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        std::set<std::string> stopped;
+        std::map<std::string, double> last_rate_factor;
+        for (const auto& it : create_random_trace(seed, 20).events) {
+            if (it.what == verb::stop)
+                stopped.insert(it.target);
+            if (it.what == verb::load) {
+                bursts[it.target] += it.rate_factor > 1 ? 1 : 0;
+                last_rate_factor[it.target] = it.rate_factor;
+            }
+        }
+        replaced_services += stopped.size() == 4 ? 1 : 0;
+        for (const auto& [load, rate_factor] : last_rate_factor)
+            CHECK(rate_factor == 1);
+    }
+    CHECK(bursts["flows"] > 0);
+    CHECK(bursts["requests"] > 0);
+    CHECK(replaced_services > 0);
+}
--- a/utilities/measure/trace/trace_event.cpp
+++ b/utilities/measure/trace/trace_event.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr double max_rate_factor = 100;
+
 constexpr std::array verb_names{
     std::pair{verb::kill, "kill"},
     std::pair{verb::stop, "stop"},
@@ -26,6 +28,7 @@
     std::pair{verb::cold, "cold"},
     std::pair{verb::wipe, "wipe"},
     std::pair{verb::apply, "apply"},
+    std::pair{verb::load, "load"},
 };
 
 verb parse_verb(const std::string& text)
@@ -66,6 +69,8 @@
     if (fields.contains("revision"))
         it.revision = static_cast<std::uint64_t>(fields.number("revision", 0, 0, 1e15));
     it.profile = fields.object("profile");
+    if (it.what == verb::load)
+        it.rate_factor = fields.number("rate_factor", it.rate_factor, 0, max_rate_factor);
     fields.reject_unknown();
     const bool names_sides = it.what == verb::partition || it.what == verb::heal || it.what == verb::link;
     if (names_sides && it.a.empty() && !it.target.empty())
@@ -73,7 +78,7 @@
     if (names_sides && it.a.empty())
         throw core::invalid_input("a", "", "the names of one side of the link");
     if (!names_sides && it.target.empty())
-        throw core::invalid_input("target", "", "the name of an instance, failure domain or profile");
+        throw core::invalid_input("target", "", "the name of an instance, failure domain, profile or kind of load");
     return it;
 }
 
@@ -108,6 +113,8 @@
         result.insert("revision", static_cast<qint64>(*it.revision));
     if (!it.profile.isEmpty())
         result.insert("profile", it.profile);
+    if (it.what == verb::load)
+        result.insert("rate_factor", it.rate_factor);
     return result;
 }
 
--- a/utilities/measure/trace/trace_event.h
+++ b/utilities/measure/trace/trace_event.h
@@ -28,13 +28,14 @@
     cold,
     wipe,
     apply,
+    load,
 };
 
 /// An event of a trace.
 struct trace_event {
     core::milliseconds at{0};
     verb what = verb::kill;
-    /// Name of the instance, failure domain or profile; empty for verbs on links, which use `a` and `b`.
+    /// Name of the instance, failure domain, profile or kind of load; empty for verbs on links, which use `a` and `b`.
     std::string target;
     /// Names on the two sides of the links. An empty list stands for all processes that the other list does not name.
     std::vector<std::string> a;
@@ -45,6 +46,8 @@
     /// The revision on which the operator's edit is based; nothing means the last accepted revision.
     std::optional<std::uint64_t> revision;
     QJsonObject profile;
+    /// For verb::load: the new rate as a multiple of the topology's rate.
+    double rate_factor = 1;
 
     friend bool operator==(const trace_event&, const trace_event&) = default;
 };
