--- a/libraries/ibisdyke/routing/tests/returned_packets_test.cpp
+++ b/libraries/ibisdyke/routing/tests/returned_packets_test.cpp
@@ -27,14 +27,7 @@
     /// or an agent rejects or drops it.
     testing::packet_outcome send(const routing::packet_info& packet, search_phase phase)
     {
-        const auto& chain = *hosts.table->find_chain(simulated_hosts::service, routing::bucket_of_flow(packet.flow));
-        routing::packet_header header;
-        header.table = hosts.table->at();
-        header.service = simulated_hosts::service;
-        header.phase = phase;
-        header.candidates = static_cast<std::uint32_t>(chain.candidates);
-        for (const auto& it : chain.members)
-            header.chain.push_back({it.id, it.packet_endpoint});
+        auto header = simulated_hosts::make_header(packet, *hosts.table, phase);
         bool returned = false;
         for (std::uint32_t visits = 1;; ++visits) {
             const auto id = header.chain[header.position].id;
--- a/libraries/ibisdyke/testing/simulated_hosts.h
+++ b/libraries/ibisdyke/testing/simulated_hosts.h
@@ -168,19 +168,26 @@
         }
     }
 
-    /// Sends a packet along the chain of its flow in the table `by`, as a balancer with this table does.
-    packet_outcome send(const routing::packet_info& packet, const std::shared_ptr<const routing::routing_table>& by,
+    /// Returns the header that a balancer with the table `by` sends with the packet.
+    static routing::packet_header make_header(const routing::packet_info& packet, const routing::routing_table& by,
         routing::search_phase phase = routing::search_phase::find)
     {
-        const auto* const chain = by->find_chain(service, routing::bucket_of_flow(packet.flow));
+        const auto* const chain = by.find_chain(service, routing::bucket_of_flow(packet.flow));
         routing::packet_header result;
-        result.table = by->at();
+        result.table = by.at();
         result.service = service;
         result.phase = phase;
         result.candidates = static_cast<std::uint32_t>(chain->candidates);
         for (const auto& it : chain->members)
             result.chain.push_back({it.id, it.packet_endpoint});
-        return forward_until_decided(packet, result);
+        return result;
+    }
+
+    /// Sends a packet along the chain of its flow in the table `by`, as a balancer with this table does.
+    packet_outcome send(const routing::packet_info& packet, const std::shared_ptr<const routing::routing_table>& by,
+        routing::search_phase phase = routing::search_phase::find)
+    {
+        return forward_until_decided(packet, make_header(packet, *by, phase));
     }
 
     static routing::packet_info packet(std::uint32_t caller, routing::packet_kind kind)
