--- a/libraries/ibisdyke/frontends/requests/tests/at_most_once_test.cpp
+++ b/libraries/ibisdyke/frontends/requests/tests/at_most_once_test.cpp
@@ -1,27 +1,20 @@
-#include "ibisdyke/testing/request_cluster.h"
+#include "request_fixture.h"
 
 #include <catch2/catch.hpp>
 
 using namespace ibisdyke;
 using namespace ibisdyke::testing;
 using namespace std::chrono_literals;
+using frontends::testing::any_loopback_port;
+using frontends::testing::never_answer;
 
 namespace {
 
-core::endpoint any_loopback_port()
-{
-    return core::endpoint::create("127.0.0.1:0");
-}
-
 caller_options keyed_post(const std::string& key, const std::string& first_sent)
 {
-    return {.method = "POST",
-        .body = "acceptance",
-        .headers = {{"idempotency-key", key}, {"ibisdyke-first-sent", first_sent}}};
+    return frontends::testing::keyed_post(key, first_sent, "acceptance");
 }
 
-void never_answer(upstream_call&) { }
-
 } // namespace
 
 // A request must not run again when the caller lost the answer and resends it.
