configuration: Keep the priority of a route

Cause: the operators' configuration gives each route a priority, and the reader dropped it. Where routes compete for one service, no process could tell urgent flows from others.

Change: planned_route, route and flow_route have a priority (0 is the highest, also for a record without the field). Commands, state and subscriptions carry it, and a plan that changes only a priority changes the route.

Ruled out: a rank that the control process computes. It would change the records of all routes of a service whenever one route comes or goes.

--- a/libraries/ibisdyke/configuration/messages.h
+++ b/libraries/ibisdyke/configuration/messages.h
@@ -111,6 +111,8 @@
     core::milliseconds request_timeout{0};
     /// Time within which requests should be answered; 0 if the route has no such target.
     core::milliseconds latency_target{0};
+    /// How urgent the flows are compared with those of the service's other routes; 0 is the highest priority.
+    std::uint32_t priority = 0;
     /// Revision of the plan that removed the route. The route is kept so that its open flows are ended.
     std::optional<std::uint64_t> withdrawn_at;
 
--- a/libraries/ibisdyke/configuration/route_plan.cpp
+++ b/libraries/ibisdyke/configuration/route_plan.cpp
@@ -47,7 +47,8 @@
 bool is_unchanged(const configuration_state& state, const route& current, const planned_route& planned)
 {
     if (current.withdrawn_at || current.name != planned.name || current.request_timeout != planned.request_timeout
-        || current.latency_target != planned.latency_target || current.targets.size() != planned.targets.size())
+        || current.latency_target != planned.latency_target || current.priority != planned.priority
+        || current.targets.size() != planned.targets.size())
         return false;
     return std::equal(current.targets.begin(), current.targets.end(), planned.targets.begin(),
         [&state](const auto& a, const auto& b) {
@@ -105,7 +106,7 @@
 
 void put_route(configuration_state& state, const planned_route& it)
 {
-    route next{it.name, it.address, {}, {}, it.request_timeout, it.latency_target, std::nullopt};
+    route next{it.name, it.address, {}, {}, it.request_timeout, it.latency_target, it.priority, std::nullopt};
     for (const auto& target : it.targets) {
         if (const auto* const service = find_service(state, target.service))
             next.targets.push_back({service->id, target.weight});
--- a/libraries/ibisdyke/configuration/route_plan.h
+++ b/libraries/ibisdyke/configuration/route_plan.h
@@ -28,6 +28,8 @@
     core::milliseconds request_timeout{0};
     /// Time within which requests should be answered; 0 if the route has no such target.
     core::milliseconds latency_target{0};
+    /// How urgent the flows are compared with those of the service's other routes; 0 is the highest priority.
+    std::uint32_t priority = 0;
 
     friend bool operator==(const planned_route&, const planned_route&) = default;
 };
--- a/libraries/ibisdyke/configuration/tests/route_plan_test.cpp
+++ b/libraries/ibisdyke/configuration/tests/route_plan_test.cpp
@@ -135,6 +135,18 @@
     CHECK(it.at(8443).targets.size() == 1);
 }
 
+// A changed priority must reach the routes. A record of a version without priorities must read as the highest one.
+TEST_CASE("a change of only a route's priority is applied")
+{
+    plan_applier it;
+    it.put(two_routes(7), "7");
+    CHECK(it.at(8443).priority == 0);
+    auto next = two_routes(8);
+    next.routes[1].priority = 2;
+    it.put(next, "8");
+    CHECK(wire::decode_configuration_state(wire::encode(it.state)).routes.at(at_port(8443)).priority == 2);
+}
+
 // A change must not be applied to a plan other than the one from which it was computed.
 TEST_CASE("a change that is based on another revision is a conflict")
 {
--- a/libraries/ibisdyke/configuration/wire/codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/codec.cpp
@@ -80,6 +80,7 @@
         }
         added.set_request_timeout_ms(static_cast<std::uint64_t>(route.request_timeout.count()));
         added.set_latency_target_ms(static_cast<std::uint64_t>(route.latency_target.count()));
+        added.set_priority(route.priority);
     }
     for (const auto& address : it.removed)
         to_wire(address, *to.add_removed());
@@ -99,7 +100,7 @@
 planned_route read(const PlannedRoute& in)
 {
     planned_route result{in.name(), from_wire(in.address()), {}, to_duration(in.request_timeout_ms()),
-        to_duration(in.latency_target_ms())};
+        to_duration(in.latency_target_ms()), in.priority()};
     for (const auto& it : in.targets())
         result.targets.push_back({it.service(), it.weight()});
     return result;
--- a/libraries/ibisdyke/configuration/wire/record_codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/record_codec.cpp
@@ -137,6 +137,7 @@
         message.add_former(it.value());
     message.set_request_timeout_ms(to_milliseconds(value.request_timeout));
     message.set_latency_target_ms(to_milliseconds(value.latency_target));
+    message.set_priority(value.priority);
     message.set_withdrawn_at(value.withdrawn_at.value_or(0));
 }
 
@@ -151,6 +152,7 @@
         result.former_targets.emplace_back(it);
     result.request_timeout = to_duration(message.request_timeout_ms());
     result.latency_target = to_duration(message.latency_target_ms());
+    result.priority = message.priority();
     if (message.withdrawn_at() != 0)
         result.withdrawn_at = message.withdrawn_at();
     return result;
--- a/libraries/ibisdyke/frontends/discovery/routing_input.cpp
+++ b/libraries/ibisdyke/frontends/discovery/routing_input.cpp
@@ -65,7 +65,7 @@
             result.withdrawn.push_back(address);
             continue;
         }
-        routing::flow_route route{address, {}, it.former_targets, it.latency_target};
+        routing::flow_route route{address, {}, it.former_targets, it.latency_target, it.priority};
         for (const auto& target : it.targets)
             route.targets.push_back({target.service, target.weight});
         result.routes.push_back(std::move(route));
--- a/libraries/ibisdyke/routing/flow_route.h
+++ b/libraries/ibisdyke/routing/flow_route.h
@@ -27,6 +27,8 @@
     std::vector<core::service_id> former_targets;
     /// Time within which requests should be answered; 0 when the route has no latency target.
     core::milliseconds latency_target{0};
+    /// How urgent the flows are compared with others at the same upstream; 0 is the highest priority.
+    std::uint32_t priority = 0;
 
     friend bool operator==(const flow_route&, const flow_route&) = default;
 };
