routing: Leave places in a full queue to flows of a higher priority

Cause: while an upstream has no free slot, every flow is admitted until its response would be late. The route with the most callers then fills the queue, and urgent flows are refused as often as the others.

A free slot may be used by every flow. Refusals have the reason lower_priority, with counters of that name, and the lines of new flows have the key priority.

Ruled out: ranks from the routes of the service. Operators keep hundreds of routes without callers, and such a route of a higher priority would take places for nothing. A fixed share of slots for urgent flows: it would stay idle without them.

Tests: routing_tests, frontends_packets_tests.

--- a/libraries/ibisdyke/frontends/packets/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -61,14 +61,15 @@
     const auto& next = it.decision.next;
     const auto to = next ? to_string(next->chain[next->position].packet_endpoint) : std::string("upstream");
     const auto& admission = it.agent.admission;
+    const auto* const route = it.agent.table ? it.agent.table->destinations().find(it.packet.flow) : nullptr;
     observability::write_claimed_line(refused ? log_level::warning : log_level::info, event,
         {{"flow", flow_id(it.packet.flow)}, {"seq", it.packet.sequence}, {"copies", it.packet.syn_retransmissions},
             {"reason", to_string(it.decision.reason)}, {"to", refused ? std::string("caller") : to},
             {"phase", to_string(it.header.phase)}, {"hops", it.header.hops}, {"balancer", to_string(it.header.sender)},
             {"table", to_string(it.header.table)}, {"applied", to_string(it.agent.applied)},
             {"accepts", admission.accepts_new_flows}, {"flows_per_s", admission.new_flows_per_second},
-            {"waiting_per_mille", it.load.queue_per_mille}, {"open_flows", it.load.open_flows},
-            {"failing", it.load.failing}});
+            {"priority", route != nullptr ? route->priority : 0}, {"waiting_per_mille", it.load.queue_per_mille},
+            {"open_flows", it.load.open_flows}, {"failing", it.load.failing}});
 }
 
 void log_returned(const routing::packet_info& packet, const routing::agent_snapshot& agent)
--- a/libraries/ibisdyke/routing/decision_names.cpp
+++ b/libraries/ibisdyke/routing/decision_names.cpp
@@ -25,6 +25,8 @@
         return "overloaded";
     case packet_reason::yields:
         return "yields";
+    case packet_reason::lower_priority:
+        return "lower_priority";
     case packet_reason::outdated:
         return "outdated";
     case packet_reason::answer_limit:
--- a/libraries/ibisdyke/routing/decision_names.h
+++ b/libraries/ibisdyke/routing/decision_names.h
@@ -11,8 +11,8 @@
 /// All values of packet_reason in order, for counters and tests.
 inline constexpr std::array packet_reasons{packet_reason::none, packet_reason::foreign, packet_reason::too_many_hops,
     packet_reason::domain_out, packet_reason::unknown_flow, packet_reason::no_capacity, packet_reason::table_full,
-    packet_reason::withdrawn, packet_reason::overloaded, packet_reason::yields, packet_reason::outdated,
-    packet_reason::answer_limit};
+    packet_reason::withdrawn, packet_reason::overloaded, packet_reason::yields, packet_reason::lower_priority,
+    packet_reason::outdated, packet_reason::answer_limit};
 
 /// Returns the name that logs and counters use for the value, for example "no_capacity".
 std::string_view to_string(packet_reason it);
--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -35,16 +35,32 @@
     const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now)
 {
     pending_.set_slots(agent.admission.slots);
+    const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
+    const bool has_latency_target = route != nullptr && route->latency_target != core::milliseconds{0};
+    if (has_latency_target)
+        priorities_.record_flow(route->priority, now);
     if (agent.domain_out_of_service || !is_within_limits(agent.admission, open_flows, now))
         return packet_reason::no_capacity;
     if (packet.syn_retransmissions > 0 && pending_.queue_per_mille() > 0)
         return packet_reason::yields;
-    const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
-    if (route == nullptr || pending_.queue_per_mille() == 0 || route->latency_target == core::milliseconds{0})
+    if (pending_.queue_per_mille() == 0 || !has_latency_target)
         return std::nullopt;
-    const auto max_time = route->latency_target * upstream_time_percent / 100;
-    const auto expected_time = pending_.expected_response_time(route->latency_target * assumed_service_percent / 100);
-    return expected_time > max_time ? std::optional(packet_reason::overloaded) : std::nullopt;
+    return latency_refusal(*route, now);
+}
+
+/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait.
+std::optional<packet_reason> flow_admission_control::latency_refusal(
+    const flow_route& route, core::time_point now) const
+{
+    const std::chrono::nanoseconds max_time = route.latency_target * upstream_time_percent / 100;
+    const auto assumed_service_time = route.latency_target * assumed_service_percent / 100;
+    const auto expected_time = pending_.expected_response_time(assumed_service_time);
+    if (expected_time > max_time)
+        return packet_reason::overloaded;
+    const auto service_time = pending_.service_time().value_or(assumed_service_time);
+    const expected_wait expected{expected_time - service_time, max_time - service_time};
+    return priorities_.may_wait(route.priority, expected, now) ? std::nullopt
+                                                               : std::optional(packet_reason::lower_priority);
 }
 
 bool flow_admission_control::should_await_retransmission(
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -8,6 +8,7 @@
 #include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/pending_requests.h"
+#include "ibisdyke/routing/priority_room.h"
 #include "ibisdyke/routing/rate_limiter.h"
 
 #include <cstddef>
@@ -24,6 +25,7 @@
     /// Returns why the upstream must not get the new flow now, or nothing when it may get the flow. A long queue would
     /// delay every response under overload. A flow is therefore refused as soon as its response would be late, and a
     /// retransmitted SYN is refused while requests wait, so that the slots go to flows that can be served in time.
+    /// Flows of a route with a lower priority leave part of the queue to those with a higher one.
     std::optional<packet_reason> refusal_reason(
         const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now);
 
@@ -56,7 +58,10 @@
     void maintain(core::incarnation upstream, core::time_point now);
 
 private:
+    std::optional<packet_reason> latency_refusal(const flow_route& route, core::time_point now) const;
+
     pending_requests pending_;
+    priority_room priorities_;
     failure_detector failures_;
     /// The incarnation of the upstream to which failures_ belongs.
     core::incarnation upstream_;
--- a/libraries/ibisdyke/routing/packet_decision.h
+++ b/libraries/ibisdyke/routing/packet_decision.h
@@ -42,6 +42,9 @@
     /// The upstream has no free slot, and flows at their first SYN precede this retransmitted SYN. The packet is
     /// dropped if the caller will retransmit it again, and otherwise rejected.
     yields,
+    /// The upstream would respond in time, but the places left in its queue are kept for flows of routes with a higher
+    /// priority.
+    lower_priority,
     /// The agent has stood still for so long that the caller has probably sent the SYN again or given up.
     outdated,
     /// The packet would be rejected, but the limit on rejections is reached.
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -29,21 +29,45 @@
     return result;
 }
 
+/// The port of the route with the higher priority, where a test has two routes.
+constexpr std::uint16_t urgent_port = 444;
+
+/// What the upstreams can do, and how fast callers want a response.
+struct host_speed {
+    std::uint32_t slots = 2;
+    core::milliseconds service_time = ::service_time;
+    core::milliseconds latency_target = ::latency_target;
+};
+
+constexpr host_speed bookings{4, 42ms, 300ms};
+
 /// Simulates in virtual time upstreams with one queue each, and callers that send a SYN and retransmit it if there is
 /// no response.
 class overload_simulation {
 public:
-    explicit overload_simulation(std::size_t count)
+    explicit overload_simulation(std::size_t count, const host_speed& speed = {})
         : hosts(count)
+        , speed_(speed)
     {
         hosts.upstreams_return_packets = true;
-        hosts.latency_target = latency_target;
+        hosts.latency_target = speed.latency_target;
         for (const auto& it : hosts.members)
-            hosts.admission[it.target.id].slots = slots;
+            hosts.admission[it.target.id].slots = speed.slots;
+        hosts.update_agents();
+    }
+
+    /// Adds a second route at urgent_port, which the last `urgent` of each `of` callers use.
+    void add_urgent_route(std::uint32_t priority, std::uint32_t urgent_priority, std::uint32_t urgent, std::uint32_t of)
+    {
+        hosts.route_priorities = {{simulated_hosts::port, priority}, {urgent_port, urgent_priority}};
         hosts.update_agents();
+        urgent_callers_ = urgent;
+        caller_cycle_ = of;
     }
 
     struct outcome_counts {
+        friend bool operator==(const outcome_counts&, const outcome_counts&) = default;
+
         std::size_t in_time = 0;
         /// Accepted at the first SYN, with a late response.
         std::size_t late = 0;
@@ -55,6 +79,7 @@
     };
 
     /// Runs one caller for each of these times, at which it sends its first SYN. A refused caller does not retry.
+    /// Returns the outcomes of all callers but those of the urgent route.
     outcome_counts run(const std::vector<std::chrono::nanoseconds>& arrivals)
     {
         for (std::uint32_t i = 0; i < arrivals.size(); ++i)
@@ -67,9 +92,12 @@
                 agent->maintain(hosts.snapshot_of(id), hosts.now);
             run_event();
         }
-        return outcomes_;
+        return outcomes_[simulated_hosts::port];
     }
 
+    /// Returns the outcomes of the callers of the urgent route.
+    const outcome_counts& urgent_outcomes() { return outcomes_[urgent_port]; }
+
     simulated_hosts hosts;
 
 private:
@@ -87,6 +115,8 @@
     void send(std::uint32_t caller, std::uint32_t syn_retransmissions, core::time_point first)
     {
         auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        if (caller % caller_cycle_ >= caller_cycle_ - urgent_callers_)
+            syn.flow.destination_port = urgent_port;
         syn.is_first = syn_retransmissions == 0;
         syn.syn_retransmissions = syn_retransmissions;
         const auto end =
@@ -94,8 +124,9 @@
         if (end.action == packet_action::place)
             return serve(end.at, syn, first);
         if (end.action != packet_action::drop || syn_retransmissions >= 2) {
-            ++outcomes_.refused;
-            outcomes_.refused_at_first_syn += syn_retransmissions == 0 ? 1 : 0;
+            auto& outcomes = outcomes_[syn.flow.destination_port];
+            ++outcomes.refused;
+            outcomes.refused_at_first_syn += syn_retransmissions == 0 ? 1 : 0;
             return;
         }
         schedule(first + (syn_retransmissions == 0 ? 200ms : 600ms),
@@ -105,24 +136,29 @@
     void serve(const core::upstream_id& id, const routing::packet_info& syn, core::time_point first)
     {
         auto& free_times = slot_free_times_[id];
-        free_times.resize(slots);
+        free_times.resize(speed_.slots);
         auto& slot = *std::min_element(free_times.begin(), free_times.end());
-        slot = std::max(slot, hosts.now) + service_time;
+        slot = std::max(slot, hosts.now) + speed_.service_time;
         schedule(slot, [this, id, syn, first] {
             hosts.agents.at(id)->record_response(make_response(syn.flow, packet_kind::segment), hosts.now);
             hosts.agents.at(id)->record_response(make_response(syn.flow, packet_kind::closing), hosts.now);
-            const bool in_time = hosts.now - first <= latency_target;
-            ++(syn.syn_retransmissions > 0 ? outcomes_.served_after_retransmission
-                    : in_time              ? outcomes_.in_time
-                                           : outcomes_.late);
+            const bool in_time = hosts.now - first <= speed_.latency_target;
+            auto& outcomes = outcomes_[syn.flow.destination_port];
+            ++(syn.syn_retransmissions > 0 ? outcomes.served_after_retransmission
+                    : in_time              ? outcomes.in_time
+                                           : outcomes.late);
         });
     }
 
+    host_speed speed_;
+    std::uint32_t urgent_callers_ = 0;
+    std::uint32_t caller_cycle_ = 1;
     core::time_point start_{1h};
     std::priority_queue<event, std::vector<event>, is_later> events_;
     std::uint64_t last_event_number_ = 0;
     std::map<core::upstream_id, std::vector<core::time_point>> slot_free_times_;
-    outcome_counts outcomes_;
+    /// By the port of the callers' route.
+    std::map<std::uint16_t, outcome_counts> outcomes_;
 };
 
 /// Returns arrival times at a constant rate.
@@ -366,3 +402,43 @@
     CHECK(end.action == packet_action::place);
     CHECK(end.at != joined.id);
 }
+
+// Replays the load when a third of the hosts is gone, with two routes: the route with the most callers must not take
+// the places of the urgent one, whatever the two priorities are. It gets the rest of the upstreams' capacity.
+TEST_CASE("under a sustained overload flows of a higher priority are served in time")
+{
+    const auto [urgent, other] = GENERATE(std::pair{1U, 2U}, std::pair{0U, 7U});
+    overload_simulation simulation(7, bookings);
+    simulation.add_urgent_route(other, urgent, 2, 9);
+    const auto capacity = static_cast<std::size_t>(std::int64_t{7} * bookings.slots * (4s / bookings.service_time));
+    const auto outcomes = simulation.run(make_arrivals(capacity * 3 / 2, 4s));
+    CHECK(simulation.urgent_outcomes().refused == 0);
+    CHECK(simulation.urgent_outcomes().late == 0);
+    CHECK(outcomes.in_time + simulation.urgent_outcomes().in_time > capacity * 95 / 100);
+}
+
+// Replays the return of all callers after a loss of power. The callers of the urgent route come later than as many
+// others as the upstreams could serve in time.
+TEST_CASE("in a burst places are left for flows of a higher priority")
+{
+    overload_simulation simulation(7, bookings);
+    simulation.add_urgent_route(2, 1, 2, 9);
+    simulation.run(make_arrivals(400, 20ms));
+    const auto in_time = simulation.urgent_outcomes().in_time;
+    overload_simulation with_equal_priorities(7, bookings);
+    with_equal_priorities.add_urgent_route(2, 2, 2, 9);
+    with_equal_priorities.run(make_arrivals(400, 20ms));
+    CHECK(in_time > with_equal_priorities.urgent_outcomes().in_time * 3 / 2);
+}
+
+// A route without callers must not take places from the others, and below the capacity no flow may be refused.
+TEST_CASE("an urgent route without callers changes nothing")
+{
+    overload_simulation alone(7, bookings);
+    overload_simulation beside(7, bookings);
+    beside.add_urgent_route(2, 1, 0, 1);
+    CHECK(beside.run(make_arrivals(2000, 1s)) == alone.run(make_arrivals(2000, 1s)));
+    overload_simulation below(7, bookings);
+    below.add_urgent_route(2, 1, 2, 9);
+    CHECK(below.run(make_arrivals(400, 1s)).in_time + below.urgent_outcomes().in_time == 400);
+}
--- a/libraries/ibisdyke/testing/simulated_hosts.h
+++ b/libraries/ibisdyke/testing/simulated_hosts.h
@@ -92,8 +92,11 @@
     {
         routing::service_members all{service, "service", members, {}};
         routing::route_set routes;
-        for (const auto protocol : {routing::ip_protocol::tcp, routing::ip_protocol::udp})
-            routes.routes.push_back({{{address, port}, protocol}, {{service, 1}}, {}, latency_target});
+        for (const auto& [route_port, priority] : route_priorities) {
+            for (const auto protocol : {routing::ip_protocol::tcp, routing::ip_protocol::udp})
+                routes.routes.push_back(
+                    {{{address, route_port}, protocol}, {{service, 1}}, {}, latency_target, priority});
+        }
         return routing::routing_table::create(current_version, {all}, nullptr, routes);
     }
 
@@ -212,6 +215,8 @@
     core::time_point table_current_until{};
     /// The service's latency target; 0 when it has none.
     core::milliseconds latency_target{0};
+    /// Port and priority of each route to the service.
+    std::map<std::uint16_t, std::uint32_t> route_priorities{{port, 0}};
     /// The table of all agents that are not in `table_overrides`.
     std::shared_ptr<const routing::routing_table> table;
     /// The tables of agents that do not use `table`.
