--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -1,6 +1,7 @@
 #include "ibisdyke/routing/flow_agent.h"
 
 #include "ibisdyke/routing/flow_search.h"
+#include "ibisdyke/routing/make_decision.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,8 +13,10 @@
 
 using detail::add_own_chain;
 using detail::begin_placement;
+using detail::dropped;
 using detail::earliest_flow_version;
 using detail::find_or_add_member;
+using detail::forwarded;
 using detail::is_addressed_to;
 using detail::is_for_service;
 using detail::is_recovering;
@@ -22,30 +25,13 @@
 using detail::mark_service_searched;
 using detail::may_hold;
 using detail::members_missing_from;
-using detail::next_unasked_candidate;
 using detail::next_unasked_member;
 using detail::offer_adoption;
+using detail::rejected;
 using detail::reset_search;
 using detail::unsearched_services;
 using detail::was_asked;
 
-packet_decision rejected(packet_reason reason)
-{
-    return {packet_action::reject, reason, std::nullopt};
-}
-
-packet_decision dropped(packet_reason reason)
-{
-    return {packet_action::drop, reason, std::nullopt};
-}
-
-packet_decision forwarded(packet_header header, std::uint32_t position)
-{
-    header.position = position;
-    ++header.hops;
-    return {packet_action::forward, packet_reason::none, std::move(header)};
-}
-
 } // namespace
 
 flow_agent::flow_agent(const flow_limits& limits, double extensions_per_second, const rejection_limits& rejections)
@@ -262,104 +248,12 @@
     return limit_rejections(search(packet, std::move(next), agent, now), packet, now);
 }
 
-/// Offers a new flow to the other candidates after the upstream has refused it.
-packet_decision flow_agent::place_returned(
-    const packet_info& packet, packet_header header, const agent_snapshot& agent, core::time_point now)
-{
-    // In phase `find` the packet was delivered because the flow was known here, but the upstream has lost the flow. The
-    // packet is offered to all candidates as the first one of a new flow.
-    if (header.phase == search_phase::find && !begin_placement(header))
-        return rejected(packet_reason::no_capacity);
-    if (header.hops >= max_hops || header.phase == search_phase::assign)
-        return rejected(packet_reason::no_capacity);
-    if (!is_addressed_to(header, agent)) {
-        const auto position = header.position;
-        return forwarded(std::move(header), position);
-    }
-    return place(packet, std::move(header), agent, now);
-}
-
 packet_decision flow_agent::handle_unknown_flow(const packet_info& packet, core::time_point now)
 {
     return failed_searches_.record_failure(packet.flow, now) ? rejected(packet_reason::unknown_flow)
                                                              : dropped(packet_reason::unknown_flow);
 }
 
-packet_decision flow_agent::place(
-    const packet_info& packet, packet_header header, const agent_snapshot& agent, core::time_point now)
-{
-    if (!may_start_flow(packet.kind))
-        return handle_unknown_flow(packet, now);
-    if (uses_outdated_table(header, agent))
-        return search_own_chain(packet, std::move(header), agent, now);
-    const auto refusal = admission_.refusal_reason(packet, agent, flows_.open_flows(), now);
-    const bool admitted = !refusal;
-    const auto next_candidate = next_unasked_candidate(header);
-    const bool is_last = !next_candidate;
-    const auto own = load(now);
-    // A caller who has retransmitted its SYN has waited already. Its flow is not passed on for balance alone, because
-    // the next candidate may not be there either.
-    const bool is_balanced = own.open_flows <= agent.admission.mean_open_flows + 1 || packet.syn_retransmissions > 0;
-    const bool has_room = !own.failing && own.queue_per_mille == 0 && is_balanced;
-    // The admitted candidate with the least load is the fallback. The last candidate is asked only after no other had
-    // room, so it takes the flow if there is no fallback or the fallback has more load.
-    const bool is_best = !header.fallback || own < header.fallback_load;
-    if (admitted && (has_room || (is_last && is_best))) {
-        auto taken = begin_flow(packet, header, agent, now);
-        if (taken.action == packet_action::place)
-            return taken;
-    } else if (admitted && is_best) {
-        header.fallback = header.position;
-        header.fallback_load = own;
-    }
-    if (next_candidate)
-        return forward_new_flow(packet, std::move(header), *next_candidate, search_phase::place, now);
-    if (header.fallback && *header.fallback < header.position) {
-        const auto next = *header.fallback;
-        return forward_new_flow(packet, std::move(header), next, search_phase::assign, now);
-    }
-    if (refusal && admission_.should_await_retransmission(packet, *refusal, now))
-        return dropped(*refusal);
-    return rejected(refusal.value_or(packet_reason::no_capacity));
-}
-
-packet_decision flow_agent::assign(
-    const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now)
-{
-    if (agent.domain_out_of_service)
-        return rejected(packet_reason::domain_out);
-    if (!may_start_flow(packet.kind)) {
-        // The flow is open, so only max_open_flows applies. The flow may be as old as the upstream.
-        if (flows_.open_flows() >= agent.admission.max_open_flows)
-            return rejected(packet_reason::no_capacity);
-        if (!flows_.insert(packet, {std::nullopt, earliest_flow_version(agent)}, now))
-            return rejected(packet_reason::table_full);
-        return {packet_action::adopt, packet_reason::none, std::nullopt};
-    }
-    if (uses_outdated_table(header, agent))
-        return search_own_chain(packet, header, agent, now);
-    if (admission_.is_within_limits(agent.admission, flows_.open_flows(), now))
-        return begin_flow(packet, header, agent, now);
-    // If a restarted member cannot take a datagram, the candidates may begin the flow.
-    auto placed = header;
-    placed.restarted.reset();
-    if (!header.restarted || header.fallback || !begin_placement(placed))
-        return rejected(packet_reason::no_capacity);
-    if (is_addressed_to(placed, agent))
-        return place(packet, std::move(placed), agent, now);
-    return forwarded(std::move(placed), 0);
-}
-
-packet_decision flow_agent::forward_new_flow(
-    const packet_info& packet, packet_header header, std::uint32_t position, search_phase phase, core::time_point now)
-{
-    // The redirect entry leads retransmissions and later packets of the flow to the member that takes it. If the table
-    // is full, a search finds the member.
-    flows_.insert(packet, {header.chain[position], header.table}, now);
-    header.phase = phase;
-    return forwarded(std::move(header), position);
-}
-
 /// Whether the watermark may be above the version of the header's table. Newer chains could lack the member of a flow
 /// that began with that table.
 bool flow_agent::uses_outdated_table(const packet_header& header, const agent_snapshot& agent) const
@@ -385,16 +279,6 @@
     return search(packet, std::move(header), agent, now);
 }
 
-packet_decision flow_agent::begin_flow(
-    const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now)
-{
-    const auto began = std::min(header.table, agent.applied);
-    if (!flows_.insert(packet, {std::nullopt, began}, now))
-        return rejected(packet_reason::table_full);
-    admission_.record_new_flow(packet.flow, now);
-    return {packet_action::place, packet_reason::none, std::nullopt};
-}
-
 bool flow_agent::extend_search(
     const packet_info& packet, packet_header& header, const agent_snapshot& agent, core::time_point now)
 {
