routing: Offer new flows to other targets of a split when one is full

Cause: a route with several targets binds each flow to the target that its hash selects. When the weights do not match the sizes of the services, or a burst fills the smaller one, its three candidates queue or refuse flows although hosts of the route's other targets are free.

Change: the last candidate of a service offers such a SYN to the candidates of another target with a weight above 0, before it is queued or refused (target_overflow). The header lists the services that were offered the flow, so that each is offered once, and the candidate that may queue it if no target has room. The receiving agent's own admission decides. Redirect entries name the service of their member, so that later packets follow the SYN; the header's service changes with them. An agent without a confirmed table, or with an older one than the balancer's, offers nothing.

Ruled out: a choice at the balancer, which does not know the queues of the hosts; load reports lag (queueing.md).

--- a/libraries/ibisdyke/frontends/packets/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -68,7 +68,7 @@
             {"table", to_string(it.header.table)}, {"applied", to_string(it.agent.applied)},
             {"accepts", admission.accepts_new_flows}, {"flows_per_s", admission.new_flows_per_second},
             {"waiting_per_mille", it.load.queue_per_mille}, {"open_flows", it.load.open_flows},
-            {"failing", it.load.failing}});
+            {"failing", it.load.failing}, {"overflow", to_string(it.decision.overflow)}});
 }
 
 void log_returned(const routing::packet_info& packet, const routing::agent_snapshot& agent)
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -57,8 +57,11 @@
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
             dropped.emplace(it, &from.find("agent_dropped_" + std::string(to_string(it))));
         }
+        for (const auto it : routing::overflow_steps)
+            overflow.emplace(it, &from.find("agent_flows_overflow_" + std::string(to_string(it))));
     }
 
+    std::map<routing::overflow_step, observability::counter*> overflow;
     std::map<routing::packet_reason, observability::counter*> rejected;
     std::map<routing::packet_reason, observability::counter*> dropped;
     observability::counter& answers;
@@ -299,6 +302,8 @@
     const routing::packet_decision& decision, const routing::packet_header& header, std::string_view packet)
 {
     using routing::packet_action;
+    if (decision.overflow != routing::overflow_step::none)
+        counters_->overflow.at(decision.overflow)->add(1);
     switch (decision.action) {
     case packet_action::place:
         counters_->placed.add(1);
--- a/libraries/ibisdyke/routing/decision_names.cpp
+++ b/libraries/ibisdyke/routing/decision_names.cpp
@@ -46,4 +46,19 @@
     return "assign";
 }
 
+std::string_view to_string(overflow_step it)
+{
+    switch (it) {
+    case overflow_step::none:
+        return "none";
+    case overflow_step::offered:
+        return "offered";
+    case overflow_step::taken:
+        return "taken";
+    case overflow_step::returned:
+        break;
+    }
+    return "returned";
+}
+
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/decision_names.h
+++ b/libraries/ibisdyke/routing/decision_names.h
@@ -14,8 +14,12 @@
     packet_reason::withdrawn, packet_reason::overloaded, packet_reason::yields, packet_reason::outdated,
     packet_reason::answer_limit};
 
+/// The values of overflow_step that are counted.
+inline constexpr std::array overflow_steps{overflow_step::offered, overflow_step::taken, overflow_step::returned};
+
 /// Returns the name that logs and counters use for the value, for example "no_capacity".
 std::string_view to_string(packet_reason it);
 std::string_view to_string(search_phase it);
+std::string_view to_string(overflow_step it);
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/routing/flow_search.h"
 #include "ibisdyke/routing/make_decision.h"
+#include "ibisdyke/routing/target_overflow.h"
 
 #include <algorithm>
 #include <utility>
@@ -79,8 +80,10 @@
         return {packet_action::adopt, packet_reason::none, std::nullopt};
     auto next = header;
     next.asked |= 1U << header.position;
-    if (unanswering)
+    if (unanswering) {
         mark_asked(next, unanswering->id);
+        next.unanswering = unanswering->id;
+    }
     switch (header.phase) {
     case search_phase::find:
         return search(packet, std::move(next), agent, now);
@@ -141,10 +144,19 @@
     if (!known->redirect)
         return agent.domain_out_of_service ? rejected(packet_reason::domain_out)
                                            : packet_decision{packet_action::deliver, packet_reason::none, std::nullopt};
-    if (header.phase == search_phase::assign || header.is_new || !may_hold(*known->redirect, header, agent)) {
+    const bool is_outdated = header.phase == search_phase::assign || header.is_new
+        || (!known->redirect_service && !may_hold(*known->redirect, header, agent));
+    if (is_outdated) {
         flows_.erase(packet.flow);
         return std::nullopt;
     }
+    if (known->redirect_service) {
+        auto next = follow_redirect_to_service(packet, header, *known, agent);
+        if (!next)
+            return std::nullopt;
+        const auto position = next->position;
+        return forwarded(*std::move(next), position);
+    }
     auto next = header;
     next.asked |= 1U << header.position;
     const auto position = find_or_add_member(next, *known->redirect);
@@ -187,7 +199,8 @@
         if (!search_next_service(packet, header, agent))
             return searched ? rejected(packet_reason::unknown_flow) : handle_unknown_flow(packet, now);
     } else if (!begin_placement(header)) {
-        return rejected(packet_reason::no_capacity);
+        auto next = leave_service(packet, header, agent, std::nullopt, std::nullopt, now);
+        return next ? *std::move(next) : rejected(packet_reason::no_capacity);
     }
     // The next step may be at this agent itself.
     if (!is_addressed_to(header, agent)) {
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -89,6 +89,9 @@
     packet_decision handle_unknown_flow(const packet_info& packet, core::time_point now);
     packet_decision place(
         const packet_info& packet, packet_header header, const agent_snapshot& agent, core::time_point now);
+    std::optional<packet_decision> leave_service(const packet_info& packet, const packet_header& header,
+        const agent_snapshot& agent, const std::optional<upstream_load>& own,
+        const std::optional<packet_reason>& refusal, core::time_point now);
     packet_decision assign(
         const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
     packet_decision forward_new_flow(const packet_info& packet, packet_header header, std::uint32_t position,
--- a/libraries/ibisdyke/routing/flow_agent_placement.cpp
+++ b/libraries/ibisdyke/routing/flow_agent_placement.cpp
@@ -3,6 +3,7 @@
 #include "ibisdyke/routing/flow_agent.h"
 #include "ibisdyke/routing/flow_search.h"
 #include "ibisdyke/routing/make_decision.h"
+#include "ibisdyke/routing/target_overflow.h"
 
 #include <algorithm>
 #include <utility>
@@ -57,6 +58,11 @@
     // The admitted candidate with the least load is the fallback. The last candidate is asked only after no other had
     // room, so it takes the flow if there is no fallback or the fallback has more load.
     const bool is_best = !header.fallback || own < header.fallback_load;
+    if (is_last && !(admitted && has_room)) {
+        const auto own_load = admitted && is_best ? std::optional(own) : std::nullopt;
+        if (auto next = leave_service(packet, header, agent, own_load, refusal, now))
+            return *std::move(next);
+    }
     if (admitted && (has_room || (is_last && is_best))) {
         auto taken = begin_flow(packet, header, agent, now);
         if (taken.action == packet_action::place)
@@ -71,11 +77,35 @@
         const auto next = *header.fallback;
         return forward_new_flow(packet, std::move(header), next, search_phase::assign, now);
     }
-    if (refusal && admission_.should_await_retransmission(packet, *refusal, now))
+    if (refusal && (header.awaits_retransmission || admission_.should_await_retransmission(packet, *refusal, now)))
         return dropped(*refusal);
     return rejected(refusal.value_or(packet_reason::no_capacity));
 }
 
+/// Offers a new flow that no candidate of this service has room for to another target of its route. `own` is the load
+/// of this agent if it is the best candidate. Returns nothing if the flow stays in this service.
+std::optional<packet_decision> flow_agent::leave_service(const packet_info& packet, const packet_header& header,
+    const agent_snapshot& agent, const std::optional<upstream_load>& own, const std::optional<packet_reason>& refusal,
+    core::time_point now)
+{
+    candidate_answers answers;
+    if (own)
+        answers.best = target_fallback{agent.service, header.chain[header.position], *own};
+    else if (header.fallback && *header.fallback < header.chain.size())
+        answers.best = target_fallback{agent.service, header.chain[*header.fallback], header.fallback_load};
+    answers.awaits_retransmission = refusal && admission_.should_await_retransmission(packet, *refusal, now);
+    auto decided = decide_overflow(packet, header, agent, answers, now);
+    if (!decided)
+        return std::nullopt;
+    auto& next = decided->next;
+    const auto position = next.position;
+    // The redirect entry leads later packets of the flow to the other service without a search.
+    flows_.insert(packet, {next.chain[position], next.table, next.service}, now);
+    auto result = forwarded(std::move(next), position);
+    result.overflow = decided->step;
+    return result;
+}
+
 packet_decision flow_agent::assign(
     const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now)
 {
@@ -120,7 +150,8 @@
     if (!flows_.insert(packet, {std::nullopt, began}, now))
         return rejected(packet_reason::table_full);
     admission_.record_new_flow(packet.flow, now);
-    return {packet_action::place, packet_reason::none, std::nullopt};
+    return {packet_action::place, packet_reason::none, std::nullopt,
+        is_in_other_target(header) ? overflow_step::taken : overflow_step::none};
 }
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/flow_table.h
+++ b/libraries/ibisdyke/routing/flow_table.h
@@ -38,6 +38,8 @@
     std::optional<header_member> redirect;
     /// The version of the system state at which the flow began.
     core::version began;
+    /// The service of the member in `redirect`; nothing if it is the agent's own service.
+    std::optional<core::service_id> redirect_service = std::nullopt;
 
     friend bool operator==(const flow_entry&, const flow_entry&) = default;
 };
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -32,6 +32,10 @@
 /// that the size of the header does not depend on the number of services.
 constexpr std::size_t max_listed_services = 8;
 
+/// Maximum number of services that a packet leaves for another target of its route before they were searched
+/// completely. Keeps the header within the size limit of a datagram's prefix.
+constexpr std::size_t max_offered_services = 4;
+
 /// Maximum number of agents that one packet visits in the search of one service.
 constexpr std::uint32_t max_hops = 64;
 
@@ -55,6 +59,15 @@
     friend auto operator<=>(const upstream_load&, const upstream_load&) = default;
 };
 
+/// A candidate that may take a new flow only into its queue, in the service that the flow was offered to first.
+struct target_fallback {
+    core::service_id service;
+    header_member member;
+    upstream_load load;
+
+    friend bool operator==(const target_fallback&, const target_fallback&) = default;
+};
+
 /// Precedes each packet on its way from the balancer through the agents of its bucket's chain.
 struct packet_header {
     /// The version of the table that `chain` was taken from; the balancer's unless an agent has replaced the chain.
@@ -84,6 +97,15 @@
     std::vector<core::service_id> searched;
     /// Once `searched` is full, the services with ids up to this one have been searched as well; otherwise 0.
     core::service_id searched_through;
+    /// The services whose agents have passed the packet on to another target of the route, because none of their
+    /// candidates had room for the new flow or because of a redirect entry. They are not offered the flow again.
+    std::vector<core::service_id> offered;
+    /// Gets the new flow if no target of the route has room for it.
+    std::optional<target_fallback> queueing_candidate;
+    /// Whether a service in `offered` would have dropped the SYN to wait for its next retransmission.
+    bool awaits_retransmission = false;
+    /// A member of another service that did not answer an earlier copy of this SYN. It is not asked again.
+    std::optional<core::upstream_id> unanswering;
     /// Bit n is set when chain[n] has received the packet in this phase and had no entry for the flow, or only a
     /// redirect entry. Prevents loops through outdated redirect entries. For a SYN, a balancer also sets the bits of
     /// unreachable members, so that they are not asked.
--- a/libraries/ibisdyke/routing/packet_decision.h
+++ b/libraries/ibisdyke/routing/packet_decision.h
@@ -48,12 +48,24 @@
     answer_limit,
 };
 
+/// What a decision about a new flow has to do with the flow's offer to several targets of its route.
+enum class overflow_step : std::uint8_t {
+    none,
+    /// The flow is offered to another target, because the candidates of this service have no room for it.
+    offered,
+    /// A target that the flow's hash does not select begins the flow.
+    taken,
+    /// No target has room, so the flow goes to a candidate of an earlier target that may queue it.
+    returned,
+};
+
 /// An agent's decision about a packet.
 struct packet_decision {
     packet_action action = packet_action::drop;
     packet_reason reason = packet_reason::none;
     /// The header for the next agent; set for `forward`.
     std::optional<packet_header> next;
+    overflow_step overflow = overflow_step::none;
 
     friend bool operator==(const packet_decision&, const packet_decision&) = default;
 };
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -27,6 +27,12 @@
     it.is_new = true;
     it.hops = 63;
     it.asked = 0xffffff;
+    for (std::uint64_t i = 0; i < max_offered_services; ++i)
+        it.offered.emplace_back(~i);
+    it.queueing_candidate = target_fallback{
+        core::service_id(~0ULL), {core::upstream_id(~0ULL), {0xffffffff, 65535}}, {true, 0xffffffff, 0xffffffff}};
+    it.awaits_retransmission = true;
+    it.unanswering = core::upstream_id(~0ULL);
     return it;
 }
 
@@ -93,6 +99,9 @@
     auto oversized = make_full_header();
     oversized.chain.resize(max_header_members + 1);
     CHECK_THROWS_AS(wire::decode_packet_header(wire::encode(oversized)), core::malformed_message);
+    auto offered_too_often = make_full_header();
+    offered_too_often.offered.resize(max_offered_services + 1);
+    CHECK_THROWS_AS(wire::decode_packet_header(wire::encode(offered_too_often)), core::malformed_message);
     std::mt19937 random(1);
     auto bytes = wire::encode_prefix(make_full_header()) + std::string(40, 'E');
     for (int i = 0; i < 20'000; ++i) {
--- a/libraries/ibisdyke/routing/tests/decision_names_test.cpp
+++ b/libraries/ibisdyke/routing/tests/decision_names_test.cpp
@@ -25,3 +25,12 @@
     CHECK(to_string(search_phase::place) == "place");
     CHECK(to_string(search_phase::assign) == "assign");
 }
+
+// The names of the counted steps are part of counters' names.
+TEST_CASE("each overflow step has its name")
+{
+    CHECK(to_string(overflow_step::none) == "none");
+    CHECK(to_string(overflow_step::offered) == "offered");
+    CHECK(to_string(overflow_step::taken) == "taken");
+    CHECK(to_string(overflow_step::returned) == "returned");
+}
--- /dev/null
+++ b/libraries/ibisdyke/routing/tests/target_overflow_test.cpp
@@ -0,0 +1,387 @@
+#include "ibisdyke/routing/chain_router.h"
+#include "ibisdyke/routing/flow_search.h"
+#include "ibisdyke/routing/target_overflow.h"
+#include "ibisdyke/routing/wire/codec.h"
+#include "ibisdyke/testing/simulated_hosts.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+using namespace ibisdyke;
+using namespace std::chrono_literals;
+using routing::overflow_step;
+using routing::packet_action;
+using routing::packet_kind;
+using routing::packet_reason;
+using routing::search_phase;
+using testing::simulated_hosts;
+
+namespace {
+
+constexpr std::uint32_t slots = 2;
+constexpr auto service_time = 24ms;
+constexpr routing::public_address route_address{
+    {simulated_hosts::address, simulated_hosts::port}, routing::ip_protocol::tcp};
+
+/// The hosts of two services behind one route, with the decision code of the real balancer and agents.
+class split_route {
+public:
+    static inline const core::service_id large{1};
+    static inline const core::service_id small{2};
+
+    split_route(std::size_t large_hosts, std::size_t small_hosts)
+        : services_{{large, "large", make_members(large_hosts), {}}, {small, "small", make_members(small_hosts), {}}}
+    {
+        set_weights(1, 1);
+    }
+
+    /// Applies a new version in which the targets have these weights, at all agents and the balancer.
+    void set_weights(std::uint32_t weight_of_large, std::uint32_t weight_of_small)
+    {
+        ++version_.index;
+        const routing::flow_route route{
+            route_address, {{large, weight_of_large}, {small, weight_of_small}}, {}, /*latency_target=*/100ms};
+        table = routing::routing_table::create(version_, services_, nullptr, {{route}, {}});
+        router_.set_table(routing::forwarding_table::create(table, nullptr, now));
+    }
+
+    routing::flow_agent& agent(const core::upstream_id& id)
+    {
+        auto& result = agents_[id];
+        if (!result)
+            result = std::make_unique<routing::flow_agent>(routing::flow_limits{}, 100, routing::rejection_limits{});
+        return *result;
+    }
+
+    /// Restarts the agent, which loses its flows and redirect entries.
+    void restart(const core::upstream_id& id) { agents_.erase(id); }
+
+    core::service_id service_of(const core::upstream_id& id) const
+    {
+        return table->find_service(large)->find_member(id) != nullptr ? large : small;
+    }
+
+    routing::agent_snapshot snapshot_of(const core::upstream_id& id) const
+    {
+        routing::agent_snapshot result;
+        result.self = id;
+        result.service = service_of(id);
+        result.applied = table->at();
+        result.table = table;
+        result.members = table->find_service(result.service);
+        result.table_current_until = are_tables_current ? now + 1s : now;
+        result.upstream_returns_packets = true;
+        result.admission.slots = slots;
+        result.admission.mean_open_flows = 1000;
+        result.admission.accepts_new_flows = !draining.contains(id);
+        result.domain_out_of_service = domains_out.contains(id);
+        return result;
+    }
+
+    static routing::packet_info syn(std::uint32_t caller, std::uint32_t retransmissions = 0)
+    {
+        auto result = simulated_hosts::packet(caller, packet_kind::syn);
+        result.may_be_placed_twice = true;
+        result.syn_retransmissions = retransmissions;
+        return result;
+    }
+
+    static routing::packet_info data(std::uint32_t caller)
+    {
+        auto result = simulated_hosts::packet(caller, packet_kind::segment);
+        result.has_data = true;
+        return result;
+    }
+
+    /// Sends the packet through the balancer and the agents.
+    testing::packet_outcome send(const routing::packet_info& packet)
+    {
+        const auto selected = router_.select(packet, now);
+        REQUIRE(selected);
+        auto header = make_header(*selected);
+        steps.clear();
+        services_visited.clear();
+        for (std::uint32_t visits = 1; visits < 100; ++visits) {
+            const auto id = header.chain[header.position].id;
+            services_visited.push_back(header.service);
+            if (crashed.contains(id))
+                return {packet_action::drop, packet_reason::none, id, visits};
+            auto decision = agent(id).decide(packet, header, snapshot_of(id), now);
+            steps.push_back(decision.overflow);
+            if (decision.action != packet_action::forward)
+                return {decision.action, decision.reason, id, visits};
+            // Agents exchange the encoded header.
+            header = routing::wire::decode_packet_header(routing::wire::encode(*decision.next));
+        }
+        FAIL("the packet circles between agents");
+        return {};
+    }
+
+    /// Gives each host of the service this many requests without a response.
+    void load(const core::service_id& service, std::uint32_t requests)
+    {
+        for (const auto& it : services_[service == large ? 0 : 1].members) {
+            for (std::uint32_t i = 0; i < requests; ++i) {
+                const auto packet = syn(next_background_caller_++);
+                auto header = *routing::flow_agent::make_header(packet, snapshot_of(it.target.id));
+                header.phase = search_phase::assign;
+                agent(it.target.id).decide(packet, header, snapshot_of(it.target.id), now);
+            }
+        }
+    }
+
+    /// Returns the first caller whose flows the weights give to the service.
+    std::uint32_t caller_of(const core::service_id& service) const
+    {
+        std::uint32_t caller = 1;
+        while (table->destinations().choose(syn(caller).flow)->service != service)
+            ++caller;
+        return caller;
+    }
+
+    std::uint32_t next_caller() { return next_caller_++; }
+
+    bool has_step(overflow_step step) const { return std::find(steps.begin(), steps.end(), step) != steps.end(); }
+
+    std::shared_ptr<const routing::routing_table> table;
+    core::time_point now{100s};
+    bool are_tables_current = true;
+    std::set<core::upstream_id> draining;
+    std::set<core::upstream_id> domains_out;
+    std::set<core::upstream_id> crashed;
+    /// Of the last packet sent.
+    std::vector<overflow_step> steps;
+    std::vector<core::service_id> services_visited;
+
+private:
+    std::vector<routing::member> make_members(std::size_t n)
+    {
+        std::vector<routing::member> result(n);
+        for (auto& it : result) {
+            ++next_upstream_;
+            it.target.id = core::upstream_id(next_upstream_);
+            it.target.packet_endpoint = {0x0a000000 + static_cast<std::uint32_t>(next_upstream_), 7000};
+            it.eligible = true;
+            it.reachable = true;
+            it.history = {{{1, 1}, std::nullopt}};
+        }
+        return result;
+    }
+
+    routing::packet_header make_header(const routing::route& selected) const
+    {
+        routing::packet_header result;
+        result.table = table->at();
+        routing::detail::reset_search(result, table->services()[selected.service]->service().id, *selected.members);
+        result.phase = selected.phase;
+        return result;
+    }
+
+    std::uint64_t next_upstream_ = 0;
+    std::uint32_t next_caller_ = 0;
+    std::uint32_t next_background_caller_ = 1'000'000;
+    core::version version_{1, 10};
+    std::vector<routing::service_members> services_;
+    routing::chain_router router_;
+    std::map<core::upstream_id, std::unique_ptr<routing::flow_agent>> agents_;
+};
+
+struct burst_outcome {
+    std::size_t refused = 0;
+    std::size_t taken_by_other_target = 0;
+    std::size_t flows = 0;
+};
+
+/// Sends one new flow every `gap` and answers each after the service time of its host's slots.
+burst_outcome replay(split_route& route, std::size_t flows, std::chrono::nanoseconds gap)
+{
+    burst_outcome result;
+    using response = std::pair<core::time_point, std::pair<core::upstream_id, std::uint32_t>>;
+    std::priority_queue<response, std::vector<response>, std::greater<>> responses;
+    std::map<core::upstream_id, std::vector<core::time_point>> free_times;
+    for (std::size_t i = 0; i < flows; ++i, route.now += gap) {
+        const auto caller = route.next_caller();
+        for (; !responses.empty() && responses.top().first <= route.now; responses.pop()) {
+            const auto& [at, of] = responses.top();
+            auto answer = simulated_hosts::packet(of.second, packet_kind::segment);
+            answer.has_data = true;
+            route.agent(of.first).record_response(answer, at);
+            answer.kind = packet_kind::closing;
+            route.agent(of.first).record_response(answer, at);
+        }
+        const auto end = route.send(split_route::syn(caller));
+        ++result.flows;
+        if (end.action != packet_action::place) {
+            ++result.refused;
+            continue;
+        }
+        result.taken_by_other_target += route.has_step(overflow_step::taken) ? 1U : 0U;
+        auto& hosts_slots = free_times[end.at];
+        hosts_slots.resize(slots);
+        auto& slot = *std::min_element(hosts_slots.begin(), hosts_slots.end());
+        slot = std::max(slot, route.now) + service_time;
+        responses.emplace(slot, std::pair(end.at, caller));
+    }
+    return result;
+}
+
+} // namespace
+
+// An even split over services of 12 and 3 hosts sends the small one more than it can serve. Its share was refused
+// although most hosts of the large one were free.
+TEST_CASE("hosts of the other target serve what a small target of a split cannot")
+{
+    constexpr std::size_t flows = 2000;
+    // 30 slots of 24 ms serve 1,250 flows a second, of which the small service serves 250. 800 arrive.
+    constexpr auto gap = 1250us;
+    split_route before(12, 3);
+    before.are_tables_current = false;
+    const auto bound = replay(before, flows, gap);
+    CHECK(bound.refused > flows / 10);
+    CHECK(bound.taken_by_other_target == 0);
+    split_route after(12, 3);
+    const auto served = replay(after, flows, gap);
+    CHECK(served.refused == 0);
+    CHECK(served.taken_by_other_target > flows / 10);
+}
+
+// A change of weights at run time moves most flows to the small service while it is full.
+TEST_CASE("a burst is served while the weights change to an uneven split")
+{
+    split_route it(12, 3);
+    it.set_weights(90, 10);
+    CHECK(replay(it, 500, 1500us).refused == 0);
+    it.set_weights(20, 80);
+    CHECK(replay(it, 1500, 1500us).refused == 0);
+}
+
+// Weights decide at ordinary load: an operator who gives a new service a small share must not find more flows there.
+TEST_CASE("no flow leaves its target while that has free slots")
+{
+    split_route it(6, 6);
+    it.set_weights(95, 5);
+    const auto ordinary = replay(it, 1000, 8ms);
+    CHECK(ordinary.refused == 0);
+    CHECK(ordinary.taken_by_other_target == 0);
+}
+
+// A flow may only run at a service that its route names with a weight above 0.
+TEST_CASE("a full target passes no flow to a target of weight 0")
+{
+    split_route it(3, 3);
+    it.set_weights(1, 0);
+    it.load(split_route::large, 12);
+    for (std::uint32_t caller = 0; caller < 100; ++caller) {
+        const auto end = it.send(split_route::syn(caller));
+        CHECK(end.action != packet_action::place);
+        CHECK(std::count(it.services_visited.begin(), it.services_visited.end(), split_route::small) == 0);
+    }
+}
+
+// An agent without contact to the control processes may have a table in which a removed target still has a weight.
+TEST_CASE("an agent whose table may be out of date offers no flow to another target")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    it.load(split_route::large, 12);
+    it.are_tables_current = false;
+    CHECK(it.send(split_route::syn(caller)).action != packet_action::place);
+    it.are_tables_current = true;
+    CHECK(it.send(split_route::syn(caller)).action == packet_action::place);
+}
+
+// Overflow must not bypass the admission of the other target's hosts.
+TEST_CASE("no flow overflows to hosts that drain or whose failure domain is out")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    it.load(split_route::large, 12);
+    auto& closed = GENERATE(false, true) ? it.draining : it.domains_out;
+    for (std::uint64_t id = 4; id <= 6; ++id)
+        closed.insert(core::upstream_id(id));
+    const auto end = it.send(split_route::syn(caller));
+    CHECK(it.has_step(overflow_step::offered));
+    CHECK(end.action != packet_action::place);
+}
+
+// When all targets are full, the flow must not circle between them. Its weights entitle the first one to queue it.
+TEST_CASE("a flow for which no target has room returns to the candidate that queues it")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::small);
+    it.load(split_route::large, slots + 1);
+    it.load(split_route::small, slots + 1);
+    const auto end = it.send(split_route::syn(caller));
+    CHECK(end.action == packet_action::place);
+    CHECK(it.service_of(end.at) == split_route::small);
+    CHECK(it.has_step(overflow_step::returned));
+    CHECK(end.visits <= 7);
+    const auto data = it.send(split_route::data(caller));
+    CHECK(data.action == packet_action::deliver);
+    CHECK(data.at == end.at);
+}
+
+// The balancer sends packets of the flow to the target that the hash selects, where the flow is not.
+TEST_CASE("packets of an overflowed flow reach its host")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    it.load(split_route::large, 12);
+    const auto placed = it.send(split_route::syn(caller));
+    REQUIRE(placed.action == packet_action::place);
+    REQUIRE(it.service_of(placed.at) == split_route::small);
+    REQUIRE(it.has_step(overflow_step::taken));
+
+    SECTION("through the redirect entries")
+    {
+        CHECK(it.send(split_route::data(caller)).visits <= placed.visits);
+    }
+    SECTION("after restarts of all agents that have passed the SYN on")
+    {
+        for (std::uint64_t id = 1; id <= 3; ++id)
+            it.restart(core::upstream_id(id));
+    }
+    SECTION("after a change of weights to either target")
+    {
+        const bool to_small = GENERATE(false, true);
+        it.set_weights(to_small ? 0 : 1, to_small ? 1 : 0);
+    }
+    const auto end = it.send(split_route::data(caller));
+    CHECK(end.action == packet_action::deliver);
+    CHECK(end.at == placed.at);
+}
+
+// The copy of a SYN whose answer was lost, or that a crashed host got, must not wait for that host again.
+TEST_CASE("a retransmitted SYN is offered to another host of the other target")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    it.load(split_route::large, 12);
+    const auto placed = it.send(split_route::syn(caller));
+    REQUIRE(it.service_of(placed.at) == split_route::small);
+    it.crashed.insert(placed.at);
+    const auto again = it.send(split_route::syn(caller, 1));
+    CHECK(again.action == packet_action::place);
+    CHECK(it.service_of(again.at) == split_route::small);
+    const auto data = it.send(split_route::data(caller));
+    CHECK(data.action == packet_action::deliver);
+    CHECK(data.at == again.at);
+}
+
+// Outdated redirect entries of two services that lead to each other must not send a packet in circles.
+TEST_CASE("a packet of a flow that no host holds any more is rejected after both targets were searched")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    it.load(split_route::large, 12);
+    const auto placed = it.send(split_route::syn(caller));
+    it.restart(placed.at);
+    const auto end = it.send(split_route::data(caller));
+    CHECK(end.action == packet_action::reject);
+    CHECK(end.reason == packet_reason::unknown_flow);
+}
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -26,6 +26,23 @@
     return it == 0 ? std::nullopt : std::optional<std::uint32_t>(it - 1);
 }
 
+void write_candidate(const target_fallback& it, QueueingCandidate& to)
+{
+    to.set_service(it.service.value());
+    to.mutable_member()->set_id(it.member.id.value());
+    core::wire::to_wire(it.member.packet_endpoint, *to.mutable_member()->mutable_packet_endpoint());
+    to.set_failing(it.load.failing);
+    to.set_waiting(it.load.queue_per_mille);
+    to.set_open_flows(it.load.open_flows);
+}
+
+target_fallback read_candidate(const QueueingCandidate& it)
+{
+    return {core::service_id(it.service()),
+        {core::upstream_id(it.member().id()), core::wire::from_wire(it.member().packet_endpoint())},
+        {it.failing(), it.waiting(), it.open_flows()}};
+}
+
 /// Parses into a message that is kept per thread, so that decoding a header allocates no protobuf objects. The next
 /// call overwrites the result.
 const PacketHeader& parse_header(std::string_view bytes)
@@ -64,6 +81,12 @@
     for (const auto& service : it.searched)
         message.add_searched(service.value());
     message.set_searched_through(it.searched_through.value());
+    for (const auto& service : it.offered)
+        message.add_offered(service.value());
+    if (it.queueing_candidate)
+        write_candidate(*it.queueing_candidate, *message.mutable_queueing_candidate());
+    message.set_awaits_retransmission(it.awaits_retransmission);
+    message.set_unanswering(it.unanswering ? it.unanswering->value() : 0);
     return message.SerializeAsString();
 }
 
@@ -104,6 +127,16 @@
     for (const auto service : message.searched())
         result.searched.emplace_back(service);
     result.searched_through = core::service_id(message.searched_through());
+    if (message.offered_size() > static_cast<int>(max_offered_services))
+        throw core::malformed_message("packet header names " + std::to_string(message.offered_size())
+            + " services that were offered the flow, more than " + std::to_string(max_offered_services));
+    for (const auto service : message.offered())
+        result.offered.emplace_back(service);
+    if (message.has_queueing_candidate())
+        result.queueing_candidate = read_candidate(message.queueing_candidate());
+    result.awaits_retransmission = message.awaits_retransmission();
+    if (message.unanswering() != 0)
+        result.unanswering = core::upstream_id(message.unanswering());
     return result;
 }
 
