routing: Adapt the pace of a starting upstream to its responses

An upstream that has just started has no open flows, so the balance by open flows sends it every new flow of its buckets. It raises the reported load only, so flows go to other candidates first and none is refused for it. A separate refusal was ruled out: while all upstreams start, it would leave slots idle. A new field in the packet header was ruled out too: the queue in thousandths of the slots expresses the same.

The agent paces starts where the plan gives a cold-start duration or the upstream announces that it is cold, unless the setting start-pace is unlimited. The first condition has no effect before this agent knows the upstream's slots.

Ran: routing_tests, frontends_packets_tests.

--- a/libraries/ibisdyke/frontends/packets/flow_log.cpp
+++ b/libraries/ibisdyke/frontends/packets/flow_log.cpp
@@ -4,6 +4,8 @@
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/decision_names.h"
 
+#include <chrono>
+
 namespace ibisdyke::frontends {
 
 namespace {
@@ -31,6 +33,11 @@
     return nullptr;
 }
 
+std::int64_t to_microseconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
 std::string_view reason_name(routing::address_state it)
 {
     switch (it) {
@@ -68,7 +75,17 @@
             {"table", to_string(it.header.table)}, {"applied", to_string(it.agent.applied)},
             {"accepts", admission.accepts_new_flows}, {"flows_per_s", admission.new_flows_per_second},
             {"waiting_per_mille", it.load.queue_per_mille}, {"open_flows", it.load.open_flows},
-            {"failing", it.load.failing}});
+            {"failing", it.load.failing}, {"start_limit", it.start_limit.value_or(0)}});
+}
+
+void log_start_event(const routing::start_event& it, const routing::agent_snapshot& agent)
+{
+    observability::write_log(log_level::info, it.outcome ? "upstream_start_ended" : "upstream_start_began",
+        {{"upstream", agent.self.value()}, {"cause", to_string(it.cause)},
+            {"outcome", it.outcome ? to_string(*it.outcome) : ""}, {"after_ms", it.duration.count()},
+            {"limit", it.limit}, {"slots", it.slots}, {"flows", it.flows}, {"answers", it.responses},
+            {"failures", it.failures}, {"service_us", to_microseconds(it.service_time)},
+            {"best_service_us", to_microseconds(it.best_service_time)}});
 }
 
 void log_returned(const routing::packet_info& packet, const routing::agent_snapshot& agent)
--- a/libraries/ibisdyke/frontends/packets/flow_log.h
+++ b/libraries/ibisdyke/frontends/packets/flow_log.h
@@ -7,7 +7,10 @@
 #include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/router.h"
+#include "ibisdyke/routing/start_pace.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,12 +27,17 @@
     const routing::packet_decision& decision;
     const routing::agent_snapshot& agent;
     routing::upstream_load load;
+    /// The limit of the requests in progress, while the upstream starts.
+    std::optional<std::uint32_t> start_limit = std::nullopt;
 };
 
 /// Logs an agent's decision that places, adopts or rejects a flow, drops a packet, or forwards a packet that may begin
 /// a flow. Does not log packets of known flows.
 void log_decision(const logged_decision& it);
 
+/// Logs the begin or the end of a start of the agent's upstream.
+void log_start_event(const routing::start_event& it, const routing::agent_snapshot& agent);
+
 /// Logs that the upstream has returned a packet.
 void log_returned(const routing::packet_info& packet, const routing::agent_snapshot& agent);
 
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -52,6 +52,8 @@
         , failing(from.find("agent_upstream_failing"))
         , probes(from.find("agent_probes_answered"))
         , stalls(from.find("agent_stalls"))
+        , starts(from.find("agent_upstream_starts"))
+        , passed_on_in_start(from.find("agent_flows_passed_on_in_start"))
     {
         for (const auto it : routing::packet_reasons) {
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
@@ -74,6 +76,8 @@
     observability::counter& failing;
     observability::counter& probes;
     observability::counter& stalls;
+    observability::counter& starts;
+    observability::counter& passed_on_in_start;
 };
 
 packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets receive_from, formats packet_formats,
@@ -252,7 +256,7 @@
         return counters_->not_ready.add(1);
     log_returned(parsed.info, *snapshot_);
     const auto decision = agent_.decide_returned(parsed.info, *header, *snapshot_, now);
-    log_decision({parsed.info, *header, decision, *snapshot_, agent_.load(now)});
+    log_decision({parsed.info, *header, decision, *snapshot_, agent_.load(now), agent_.start_limit()});
     execute(decision, *header, original);
 }
 
@@ -280,10 +284,13 @@
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
     compare_versions(header, update_sender(header.sender, now), now);
+    const bool start_limited = routing::may_start_flow(parsed.info.kind) && agent_.is_start_limited(now);
     const auto decision = decide(parsed.info, header, now);
     if (decision.action == routing::packet_action::place)
         ++next_view_.flows;
-    log_decision({parsed.info, header, decision, *snapshot_, agent_.load(now)});
+    if (start_limited && decision.next && decision.next->phase != routing::search_phase::find)
+        counters_->passed_on_in_start.add(1);
+    log_decision({parsed.info, header, decision, *snapshot_, agent_.load(now), agent_.start_limit()});
     execute(decision, header, packet);
 }
 
@@ -411,6 +418,15 @@
         failing ? "upstream_failing" : "upstream_tried_again", {{"upstream", snapshot_->self.value()}});
 }
 
+void packet_receiver::log_start_events()
+{
+    for (const auto& it : agent_.take_start_events()) {
+        if (!it.outcome)
+            counters_->starts.add(1);
+        log_start_event(it, *snapshot_);
+    }
+}
+
 void packet_receiver::maintain(core::time_point now)
 {
     if (now - last_maintenance_ < maintenance_interval)
@@ -421,6 +437,7 @@
         return;
     agent_.maintain(*snapshot_, now);
     log_upstream_state(agent_.is_failing(now));
+    log_start_events();
     next_view_.open_flows = agent_.flows().open_flows();
     next_view_.active_flows = agent_.flows().active_flows();
     next_view_.flow_watermark = agent_.watermark(*snapshot_, now);
--- a/libraries/ibisdyke/frontends/packets/packet_receiver.h
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.h
@@ -152,6 +152,7 @@
     void send_notice(const core::endpoint& to);
     void compare_versions(const routing::packet_header& header, balancer& sender, core::time_point now);
     void log_upstream_state(bool failing);
+    void log_start_events();
     void answer_probe(const routing::packet_header& probe);
     balancer& update_sender(const core::endpoint& sender, core::time_point now);
     void announce_stop(core::time_point now);
--- a/libraries/ibisdyke/routing/agent_snapshot.h
+++ b/libraries/ibisdyke/routing/agent_snapshot.h
@@ -23,6 +23,8 @@
     double burst = std::numeric_limits<double>::infinity();
     /// Number of requests that the upstream serves at the same time; 0 when it is unknown.
     std::uint32_t slots = 0;
+    /// Whether the pace of new flows after a start follows the upstream's responses.
+    bool paces_starts = false;
     /// Maximum number of open flows.
     std::size_t max_open_flows = std::numeric_limits<std::size_t>::max();
     /// Mean number of open flows over the active upstreams of the service, from the last heartbeat response.
--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -1,5 +1,6 @@
 #include "ibisdyke/routing/flow_admission_control.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisdyke::routing {
@@ -34,12 +35,13 @@
 std::optional<packet_reason> flow_admission_control::refusal_reason(
     const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now)
 {
-    pending_.set_slots(agent.admission.slots);
+    update_upstream(agent, now);
     if (agent.domain_out_of_service || !is_within_limits(agent.admission, open_flows, now))
         return packet_reason::no_capacity;
+    const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
+    pace_.record_offered_flow(pending_.size(), route == nullptr ? core::milliseconds{0} : route->latency_target, now);
     if (packet.syn_retransmissions > 0 && pending_.queue_per_mille() > 0)
         return packet_reason::yields;
-    const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
     if (route == nullptr || pending_.queue_per_mille() == 0 || route->latency_target == core::milliseconds{0})
         return std::nullopt;
     const auto max_time = route->latency_target * upstream_time_percent / 100;
@@ -68,21 +70,36 @@
 
 upstream_load flow_admission_control::load(std::size_t active_flows, core::time_point now) const
 {
-    return {failures_.is_failing(now), pending_.queue_per_mille(), static_cast<std::uint32_t>(active_flows)};
+    const auto queue = std::max(pending_.queue_per_mille(), pace_.excess_per_mille(pending_.size(), now));
+    return {failures_.is_failing(now), queue, static_cast<std::uint32_t>(active_flows)};
+}
+
+bool flow_admission_control::is_start_limited(core::time_point now) const
+{
+    return pending_.queue_per_mille() == 0 && pace_.excess_per_mille(pending_.size(), now) > 0;
 }
 
 void flow_admission_control::record_new_flow(const flow_key& flow, core::time_point now)
 {
     new_flow_limiter_.take(now);
+    pace_.record_new_flow(now);
     pending_.expect(flow, now);
 }
 
 void flow_admission_control::record_response(const packet_info& response, core::time_point now)
 {
-    if (response.has_data && pending_.complete(response.flow, now))
+    if (const auto service_time = response.has_data ? pending_.complete(response.flow, now) : std::nullopt) {
         failures_.record_success();
+        pace_.record_response(*service_time, now);
+    }
     if (response.kind == packet_kind::closing && pending_.cancel(response.flow, now) && response.is_reset)
-        failures_.record_failure(now);
+        record_failure(now);
+}
+
+void flow_admission_control::record_failure(core::time_point now)
+{
+    failures_.record_failure(now);
+    pace_.record_failure();
 }
 
 void flow_admission_control::record_returned_packet(const packet_info& packet, core::time_point now)
@@ -92,13 +109,22 @@
         refuses_new_flows_until_ = now + returned_flow_pause;
 }
 
-void flow_admission_control::maintain(core::incarnation upstream, core::time_point now)
+void flow_admission_control::update_upstream(const agent_snapshot& agent, core::time_point now)
 {
+    const auto& limits = agent.admission;
+    const auto run = agent.upstream_incarnation;
     // Failures of an earlier process of the upstream say nothing about the present one.
-    if (std::exchange(upstream_, upstream) != upstream)
+    if (std::exchange(upstream_, run) != run)
         failures_.reset();
+    pending_.set_slots(limits.slots);
+    pace_.update({run, limits.paces_starts, limits.accepts_new_flows, failures_.is_failing(now), limits.slots}, now);
+}
+
+void flow_admission_control::maintain(const agent_snapshot& agent, core::time_point now)
+{
+    update_upstream(agent, now);
     for (auto n = pending_.take_overdue_count(now); n > 0; --n)
-        failures_.record_failure(now);
+        record_failure(now);
     pending_.remove_expired(now);
 }
 
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -9,9 +9,11 @@
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/pending_requests.h"
 #include "ibisdyke/routing/rate_limiter.h"
+#include "ibisdyke/routing/start_pace.h"
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace ibisdyke::routing {
 
@@ -35,7 +37,8 @@
     /// Whether the limits allow one more flow regardless of the load. False for a short time after a returned flow.
     bool is_within_limits(const flow_admission_limits& admission, std::size_t open_flows, core::time_point now);
 
-    /// Returns the load of the upstream. A failing upstream has a higher load than any other.
+    /// Returns the load of the upstream. A failing upstream has a higher load than any other. Requests beyond the limit
+    /// of a start count as waiting, so that new flows go to other candidates first.
     upstream_load load(std::size_t active_flows, core::time_point now) const;
 
     bool is_failing(core::time_point now) const { return failures_.is_failing(now); }
@@ -52,12 +55,25 @@
     /// Records that the upstream has returned a packet because it neither holds nor accepts the packet's flow.
     void record_returned_packet(const packet_info& packet, core::time_point now);
 
-    /// Records overdue requests as failures and removes expired ones. `upstream` is the incarnation announced last.
-    void maintain(core::incarnation upstream, core::time_point now);
+    /// Records overdue requests as failures and removes expired ones.
+    void maintain(const agent_snapshot& agent, core::time_point now);
+
+    /// Whether a slot is free but the next flow would exceed the limit of a start.
+    bool is_start_limited(core::time_point now) const;
+
+    /// Returns the limit of the requests in progress, or nothing when the upstream is not starting.
+    std::optional<std::uint32_t> start_limit() const { return pace_.limit(); }
+
+    /// Returns the starts that have begun or ended since the last call.
+    std::vector<start_event> take_start_events() { return pace_.take_events(); }
 
 private:
+    void update_upstream(const agent_snapshot& agent, core::time_point now);
+    void record_failure(core::time_point now);
+
     pending_requests pending_;
     failure_detector failures_;
+    start_pace pace_;
     /// The incarnation of the upstream to which failures_ belongs.
     core::incarnation upstream_;
     /// The upstream gets no new flows until this time, because it has returned one.
--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -421,7 +421,7 @@
     if (agent.domain_out_of_service)
         flows_.clear();
     flows_.expire(now);
-    admission_.maintain(agent.upstream_incarnation, now);
+    admission_.maintain(agent, now);
     table_history_.record_applied(agent.applied, now);
 }
 
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace ibisdyke::routing {
 
@@ -63,6 +64,15 @@
     /// Whether new flows should avoid the upstream because its requests fail.
     bool is_failing(core::time_point now) const { return admission_.is_failing(now); }
 
+    /// Whether new flows go to other candidates only because the upstream has just started.
+    bool is_start_limited(core::time_point now) const { return admission_.is_start_limited(now); }
+
+    /// Returns the limit of the requests in progress, or nothing when the upstream is not starting.
+    std::optional<std::uint32_t> start_limit() const { return admission_.start_limit(); }
+
+    /// Returns the starts that have begun or ended since the last call.
+    std::vector<start_event> take_start_events() { return admission_.take_start_events(); }
+
     /// Returns a lower bound for the versions at which the open and all future flows began. Flows may be placed with
     /// tables that were replaced up to max_table_lag ago. After a restart, until max_table_lag after the recovery
     /// window, flows that are still to be adopted count as well.
--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -70,17 +70,17 @@
         busy_since_ = now;
 }
 
-bool pending_requests::complete(const flow_key& flow, core::time_point now)
+std::optional<std::chrono::nanoseconds> pending_requests::complete(const flow_key& flow, core::time_point now)
 {
     const auto it = requests_.find(flow);
     if (it == requests_.end())
-        return false;
+        return std::nullopt;
     const std::chrono::nanoseconds response_time = now - it->second.since;
     const auto sample = response_time * per_mille / (per_mille + it->second.queue_per_mille);
     service_time_ = service_time_ ? *service_time_ + (sample - *service_time_) / average_divisor : sample;
     requests_.erase(it);
     update_busy_since(now);
-    return true;
+    return sample;
 }
 
 /// Removes the requests that the callers have not sent in time.
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -33,8 +33,9 @@
     /// Adds or restarts a request when the caller has sent data on the flow.
     void start(const flow_key& flow, core::time_point now) { start(flow, now, request_state::sent); }
 
-    /// Removes a request when the upstream has sent data on the flow. Returns whether there was a request.
-    bool complete(const flow_key& flow, core::time_point now);
+    /// Removes a request when the upstream has sent data on the flow. Returns how long the upstream has worked on it,
+    /// not counting the wait for a slot, or nothing if there was no request.
+    std::optional<std::chrono::nanoseconds> complete(const flow_key& flow, core::time_point now);
 
     /// Removes a request when the flow has ended or the upstream does not hold it. Returns whether a request had been
     /// sent and had no response.
@@ -48,6 +49,8 @@
 
     std::size_t size() const { return requests_.size(); }
 
+    std::uint32_t slots() const { return slots_; }
+
     /// Returns the requests beyond the free slots, in thousandths of the slots; 0 while a slot is free.
     std::uint32_t queue_per_mille() const;
 
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -28,6 +28,7 @@
 constexpr core::milliseconds tick_period{100};
 /// The burst of new flows that is allowed during a cold start, as a share of the new flows allowed per second.
 constexpr double cold_start_burst_share = 0.1;
+constexpr auto adaptive_pace = "adaptive";
 
 /// Returns the endpoint at which other processes reach `listen-<what>`, or an empty endpoint when the process does not
 /// listen there.
@@ -91,6 +92,11 @@
         core::milliseconds(30'000), core::milliseconds(0), max_drain_limit);
     parser.add_duration("recovery-ms", "Time after a restart during which flows of the previous process are adopted",
         core::milliseconds(60'000), core::milliseconds(0), max_recovery_window);
+    parser.add_choice("start-pace",
+        "Pace of new flows after a start of the upstream: adaptive follows the upstream's responses where it is known "
+        "to "
+        "start slowly; unlimited",
+        {adaptive_pace, "unlimited"});
 }
 
 agent_process::agent_process(
@@ -102,6 +108,7 @@
     , slots_(static_cast<std::uint32_t>(source.initial().number("slots")))
     , drain_limit_(source.initial().duration("drain-limit-ms"))
     , recovery_window_(source.initial().duration("recovery-ms"))
+    , adapts_start_pace_(source.initial().text("start-pace") == adaptive_pace)
     , started_at_(transport::read_clock())
     , started_at_wall_time_(transport::read_wall_clock())
     , usage_(runtime.identity().incarnation)
@@ -305,10 +312,13 @@
         if (!std::isinf(result.new_flows_per_second))
             result.burst = std::max(1.0, result.new_flows_per_second * cold_start_burst_share);
     }
-    if (!presence_ || !is_cold(now))
-        return result;
     const auto state = states_.load();
     const auto* const service = state ? find_service(*state, service_) : nullptr;
+    const bool is_cold_now = presence_ && is_cold(now);
+    const bool starts_slowly = service != nullptr && service->cold_start.duration > core::milliseconds{0};
+    result.paces_starts = adapts_start_pace_ && (starts_slowly || is_cold_now);
+    if (!is_cold_now)
+        return result;
     if (service == nullptr || service->cold_start.flows_per_second <= 0)
         return result;
     result.new_flows_per_second = service->cold_start.flows_per_second;
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -80,6 +80,8 @@
     std::uint32_t slots_;
     core::milliseconds drain_limit_;
     core::milliseconds recovery_window_;
+    /// Whether the pace of new flows after a start follows the upstream's responses.
+    bool adapts_start_pace_;
     core::time_point started_at_;
     core::wall_time started_at_wall_time_;
 
