routing: Take a retransmitted SYN while a slot is free, whatever the pace of a start

A caller that has sent its SYN again has waited already, and the candidate to which the limit of a start passes it on may be unreachable. Balance alone does not pass such a SYN on either. The test fails without the change.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -297,10 +297,11 @@
     const auto next_candidate = next_unasked_candidate(header);
     const bool is_last = !next_candidate;
     const auto own = load(now);
-    // A caller who has retransmitted its SYN has waited already. Its flow is not passed on for balance alone, because
-    // the next candidate may not be there either.
+    // A caller who has retransmitted its SYN has waited already. Its flow is not passed on for balance alone or because
+    // of a start, as the next candidate may not be there either.
     const bool is_balanced = own.open_flows <= agent.admission.mean_open_flows + 1 || packet.syn_retransmissions > 0;
-    const bool has_room = !own.failing && own.queue_per_mille == 0 && is_balanced;
+    const bool is_free = own.queue_per_mille == 0 || (packet.syn_retransmissions > 0 && is_start_limited(now));
+    const bool has_room = !own.failing && is_free && is_balanced;
     // The admitted candidate with the least load is the fallback. The last candidate is asked only after no other had
     // room, so it takes the flow if there is no fallback or the fallback has more load.
     const bool is_best = !header.fallback || own < header.fallback_load;
--- a/libraries/ibisdyke/routing/tests/start_pace_test.cpp
+++ b/libraries/ibisdyke/routing/tests/start_pace_test.cpp
@@ -258,6 +258,43 @@
     CHECK(simulation.refused_with_free_slot == 0);
 }
 
+// A caller that has sent its SYN again has waited already, and the candidate to which the SYN was passed on may be
+// unreachable.
+TEST_CASE("a retransmitted SYN is not passed on because of the pace")
+{
+    simulated_hosts hosts(3);
+    hosts.upstreams_return_packets = true;
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id].slots = slots;
+    hosts.update_agents();
+    auto syn = simulated_hosts::packet(1, packet_kind::syn);
+    const auto bucket = routing::bucket_of_flow(syn.flow);
+    const auto starter = hosts.table->find_chain(simulated_hosts::service, bucket)->members.front();
+    hosts.admission[starter.id].paces_starts = true;
+    for (std::uint32_t caller = 100; caller < 100 + start_pace::max_initial_limit; ++caller) {
+        routing::packet_header header;
+        header.table = hosts.table->at();
+        header.service = simulated_hosts::service;
+        header.chain = {{starter.id, starter.packet_endpoint}};
+        header.candidates = 1;
+        header.phase = search_phase::place;
+        const auto first = simulated_hosts::packet(caller, packet_kind::syn);
+        REQUIRE(hosts.forward_until_decided(first, header).action == packet_action::place);
+    }
+    hosts.mean_open_flows = 100;
+    syn.is_first = true;
+    CHECK(hosts.send(syn, hosts.table, search_phase::place).at != starter.id);
+    auto retransmitted = simulated_hosts::packet(1, packet_kind::syn);
+    retransmitted.flow.source_address += 1;
+    while (hosts.table->find_chain(simulated_hosts::service, routing::bucket_of_flow(retransmitted.flow))
+               ->members.front()
+               .id
+        != starter.id)
+        ++retransmitted.flow.source_address;
+    retransmitted.syn_retransmissions = 1;
+    CHECK(hosts.send(retransmitted, hosts.table, search_phase::place).at == starter.id);
+}
+
 // The bound that operators set for a cold start is a promise to the upstream. Neither a fast start nor the lack of
 // another candidate may exceed it.
 TEST_CASE("the configured bound on new flows is never exceeded")
