--- a/utilities/measure/experiments/running_system.cpp
+++ b/utilities/measure/experiments/running_system.cpp
@@ -191,8 +191,8 @@
 
 void running_system::close_routes(const std::string& name)
 {
-    // Waits until the listeners are closed. A process that is started before would inherit them until it calls exec, and
-    // the proxy could not listen on the same endpoints again.
+    // Waits until the listeners are closed. A process that is started before would inherit them until it calls exec,
+    // and the proxy could not listen on the same endpoints again.
     proxy_->call([&](auto& it) { it.close(name); });
 }
 
