tests: Pause the balancer of a test until its packets have been sent

The pause was a sleep at the end of the next wait(), which the test only asked for. If the forwarder was still reading then, it took the first SYNs before it paused, and if the test's own thread was kept from the processor, it sent them after the pause. Ruled out: the decision (backlog_monitor is a function of times, and its tests in virtual time hold). Change: the test waits until the forwarder has stopped, sends, and then resumes it after the same 700 ms. The checks are the same: all 20 are dropped, one stall is counted, and a later SYN is delivered.

--- a/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <semaphore>
 #include <optional>
 #include <string>
 #include <thread>
@@ -120,13 +121,25 @@
     void wait(core::milliseconds timeout) override
     {
         inner_->wait(timeout);
-        std::this_thread::sleep_for(next_pause.exchange(core::milliseconds{0}));
+        if (!pause_requested_.exchange(false))
+            return;
+        paused_.release();
+        resumed_.acquire();
     }
 
-    /// The length of the pause at the end of the next wait().
-    std::atomic<core::milliseconds> next_pause{core::milliseconds{0}};
+    /// Stops the reading thread at the end of its next wait(). Returns once the thread has stopped.
+    void pause()
+    {
+        pause_requested_ = true;
+        paused_.acquire();
+    }
+
+    void resume() { resumed_.release(); }
 
 private:
+    std::atomic<bool> pause_requested_{false};
+    std::binary_semaphore paused_{0};
+    std::binary_semaphore resumed_{0};
     std::unique_ptr<transport::datagram_socket> inner_;
 };
 
@@ -445,10 +458,12 @@
     path.publish_to_agents({1, 5}, false);
     path.start();
     REQUIRE(path.deliver(tcp_packet(2000, Tins::TCP::SYN, "")));
-    path.balancer_socket->next_pause = 700ms;
+    path.balancer_socket->pause();
     for (std::uint16_t i = 1; i <= 20; ++i)
         send(*path.caller, tcp_packet(static_cast<std::uint16_t>(2000 + i), Tins::TCP::SYN, ""),
             path.forwarder->local());
+    std::this_thread::sleep_for(700ms);
+    path.balancer_socket->resume();
     REQUIRE(path.run_until([&] { return path.balancer_counters.find("forwarder_dropped_outdated").value() == 20; }));
     CHECK(path.balancer_counters.find("forwarder_stalls").value() == 1);
     CHECK(path.deliver(tcp_packet(4000, Tins::TCP::SYN, "")));
