routing: Do not take a shed request for a fast response

Cause: an upstream whose queue is full answers at once. The agent took that for a service time, so its estimate fell from some 60 ms to under 20 ms within 20 ms, and it placed 36 flows at an upstream of 4 slots in 60 ms (side-kigali-gasabo-6, 36.08 to 36.14 s: waiting_per_mille 2000 to 10750 in phase place and assign). Ruled out: the latency bound itself (it holds with the right estimate) and lost responses (the flows were answered). Change: a response that comes in under a quarter of the expected time although its request had to wait does not count as a service time, and not as a success either. Test: "a queued request that is answered at once does not shorten the service time" fails without the change (complete() returned 1 ms).

--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -16,6 +16,11 @@
 constexpr int overdue_factor = 10;
 constexpr std::chrono::milliseconds min_overdue_time{500};
 
+/// A response that comes sooner than this part of the expected time although the request had to wait says that the
+/// upstream has shed the request. It must not count as a service time: the estimate would fall while the upstream
+/// sheds, and the agent would send it ever more requests.
+constexpr int shed_divisor = 4;
+
 /// Returns the response time of a request behind a queue of `queue_per_mille` thousandths of the slots.
 std::chrono::nanoseconds add_queue_time(std::chrono::nanoseconds service_time, std::uint32_t queue_per_mille)
 {
@@ -76,13 +81,25 @@
     if (it == requests_.end())
         return std::nullopt;
     const std::chrono::nanoseconds response_time = now - it->second.since;
-    const auto sample = response_time * per_mille / (per_mille + it->second.queue_per_mille);
+    const auto queue = it->second.queue_per_mille;
+    if (is_shed(response_time, queue)) {
+        requests_.erase(it);
+        update_busy_since(now);
+        return std::nullopt;
+    }
+    const auto sample = response_time * per_mille / (per_mille + queue);
     service_time_ = service_time_ ? *service_time_ + (sample - *service_time_) / average_divisor : sample;
     requests_.erase(it);
     update_busy_since(now);
     return sample;
 }
 
+bool pending_requests::is_shed(std::chrono::nanoseconds response_time, std::uint32_t queue_per_mille) const
+{
+    return service_time_ && queue_per_mille > 0
+        && response_time * shed_divisor < add_queue_time(*service_time_, queue_per_mille);
+}
+
 /// Removes the requests that the callers have not sent in time.
 void pending_requests::remove_unsent(core::time_point now)
 {
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -34,7 +34,7 @@
     void start(const flow_key& flow, core::time_point now) { start(flow, now, request_state::sent); }
 
     /// Removes a request when the upstream has sent data on the flow. Returns how long the upstream has worked on it,
-    /// not counting the wait for a slot, or nothing if there was no request.
+    /// not counting the wait for a slot, or nothing if there was no request or the upstream has shed it.
     std::optional<std::chrono::nanoseconds> complete(const flow_key& flow, core::time_point now);
 
     /// Removes a request when the flow has ended or the upstream does not hold it. Returns whether a request had been
@@ -79,6 +79,7 @@
     };
 
     void start(const flow_key& flow, core::time_point now, request_state state);
+    bool is_shed(std::chrono::nanoseconds response_time, std::uint32_t queue_per_mille) const;
     void remove_unsent(core::time_point now);
     void update_busy_since(core::time_point now);
 
--- a/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
+++ b/libraries/ibisdyke/routing/tests/pending_requests_test.cpp
@@ -53,6 +53,23 @@
     CHECK_FALSE(it.busy_since());
 }
 
+// An upstream whose queue is full answers at once that it sheds the request. Taken for a service time, such answers
+// made the agent expect short waits and send ever more requests.
+TEST_CASE("a queued request that is answered at once does not shorten the service time")
+{
+    pending_requests it;
+    it.set_slots(1);
+    it.start(flow(1), start);
+    it.start(flow(2), start);
+    CHECK(it.complete(flow(1), start + 40ms) == 40ms);
+    CHECK(it.complete(flow(2), start + 80ms) == 40ms);
+    it.start(flow(3), start + 80ms);
+    it.start(flow(4), start + 80ms);
+    CHECK_FALSE(it.complete(flow(4), start + 82ms));
+    CHECK(it.size() == 1);
+    CHECK(it.service_time() == 40ms);
+}
+
 // An upstream whose number of slots is unknown must not count as full.
 TEST_CASE("no requests wait if the number of slots is unknown")
 {
