routing: Check the load again when a flow comes back to a candidate

Cause: a flow that no candidate has room for returns to the least loaded one in phase assign, where only the hard limits were checked. On VMs with a small share of a processor each hop takes up to 20 ms, so dozens of flows return to the candidate that had the shortest queue when they passed it. Ruled out: the hash of the buckets (the flows came from all balancers). Change: such a flow must keep the latency bound, as when it was offered first. Otherwise it is refused like any other, and dropped while its caller's retransmission may find a slot. A refusal for a lower priority is treated alike.

--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -25,6 +25,12 @@
 /// Callers give up after this many retransmissions of a SYN.
 constexpr std::uint32_t last_retransmission = 2;
 
+/// Returns the time that a request of a route is taken to need before the upstream's first response.
+core::milliseconds assumed_service_time(core::milliseconds latency_target)
+{
+    return latency_target * assumed_service_percent / 100;
+}
+
 } // namespace
 
 flow_admission_control::flow_admission_control()
@@ -46,26 +52,39 @@
     pace_.record_offered_flow(pending_.size(), latency_target, now);
     if (packet.syn_retransmissions > 0 && pending_.queue_per_mille() > 0)
         return packet_reason::yields;
-    if (pending_.queue_per_mille() == 0 || !has_latency_target)
-        return std::nullopt;
-    return latency_refusal(*route, now);
+    return has_latency_target ? latency_refusal(*route, now) : std::nullopt;
 }
 
-/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait.
+/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait or a slot is free.
 std::optional<packet_reason> flow_admission_control::latency_refusal(
     const flow_route& route, core::time_point now) const
 {
+    if (pending_.queue_per_mille() == 0 || route.latency_target == core::milliseconds{0})
+        return std::nullopt;
     const std::chrono::nanoseconds max_time = route.latency_target * upstream_time_percent / 100;
-    const auto assumed_service_time = route.latency_target * assumed_service_percent / 100;
-    const auto expected_time = pending_.expected_response_time(assumed_service_time);
+    const auto expected_time = expected_response_time(route.latency_target);
     if (expected_time > max_time)
         return packet_reason::overloaded;
-    const auto service_time = pending_.service_time().value_or(assumed_service_time);
+    const auto service_time = pending_.service_time().value_or(assumed_service_time(route.latency_target));
     const expected_wait expected{expected_time - service_time, max_time - service_time};
     return priorities_.may_wait(route.priority, expected, now) ? std::nullopt
                                                                : std::optional(packet_reason::lower_priority);
 }
 
+std::chrono::nanoseconds flow_admission_control::expected_response_time(core::milliseconds latency_target) const
+{
+    return pending_.expected_response_time(assumed_service_time(latency_target));
+}
+
+std::optional<packet_reason> flow_admission_control::assignment_refusal_reason(
+    const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now)
+{
+    if (!is_within_limits(agent.admission, open_flows, now))
+        return packet_reason::no_capacity;
+    const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
+    return route != nullptr ? latency_refusal(*route, now) : std::nullopt;
+}
+
 bool flow_admission_control::should_await_retransmission(
     const packet_info& packet, packet_reason refused, core::time_point now) const
 {
@@ -73,8 +92,9 @@
         return false;
     if (refused == packet_reason::yields)
         return true;
+    const bool is_full = refused == packet_reason::overloaded || refused == packet_reason::lower_priority;
     const auto since = pending_.busy_since();
-    return refused == packet_reason::overloaded && (!since || now - *since < sustained_overload);
+    return is_full && (!since || now - *since < sustained_overload);
 }
 
 bool flow_admission_control::is_within_limits(
@@ -130,9 +150,10 @@
 {
     const auto& limits = agent.admission;
     const auto run = agent.upstream_incarnation;
-    // Failures of an earlier process of the upstream say nothing about the present one.
-    if (std::exchange(upstream_, run) != run)
+    if (std::exchange(upstream_, run) != run) {
+        // Failures of an earlier process of the upstream say nothing about the present one.
         failures_.reset();
+    }
     pending_.set_slots(limits.slots);
     pace_.update({run, limits.paces_starts, limits.accepts_new_flows, failures_.is_failing(now), limits.slots}, now);
 }
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -31,6 +31,12 @@
     std::optional<packet_reason> refusal_reason(
         const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now);
 
+    /// Returns why the upstream must not get a new flow that the other candidates have passed back to it, or nothing
+    /// when it may get the flow. Under overload many flows pass through its candidates at the same time and come back
+    /// to the one that had the least load when they were offered, so its load is checked again.
+    std::optional<packet_reason> assignment_refusal_reason(
+        const packet_info& packet, const agent_snapshot& agent, std::size_t open_flows, core::time_point now);
+
     /// Whether to wait for the caller's next retransmission of a refused SYN instead of rejecting the flow. The caller
     /// must have a retransmission left, and an overloaded upstream must have had a free slot recently, so that it may
     /// have one again by then. A rejected caller would retry at once.
@@ -70,6 +76,7 @@
     std::vector<start_event> take_start_events() { return pace_.take_events(); }
 
 private:
+    std::chrono::nanoseconds expected_response_time(core::milliseconds latency_target) const;
     std::optional<packet_reason> latency_refusal(const flow_route& route, core::time_point now) const;
     void update_upstream(const agent_snapshot& agent, core::time_point now);
     void record_failure(core::time_point now);
--- a/libraries/ibisdyke/routing/flow_agent_placement.cpp
+++ b/libraries/ibisdyke/routing/flow_agent_placement.cpp
@@ -78,9 +78,15 @@
         const auto next = *header.fallback;
         return forward_new_flow(packet, std::move(header), next, search_phase::assign, now);
     }
-    if (refusal && (header.awaits_retransmission || admission_.should_await_retransmission(packet, *refusal, now)))
-        return dropped(*refusal);
-    return rejected(refusal.value_or(packet_reason::no_capacity));
+    return refuse_new_flow(packet, header, refusal.value_or(packet_reason::no_capacity), now);
+}
+
+/// Refuses a new flow that no candidate can take.
+packet_decision flow_agent::refuse_new_flow(
+    const packet_info& packet, const packet_header& header, packet_reason reason, core::time_point now) const
+{
+    const bool awaits = header.awaits_retransmission || admission_.should_await_retransmission(packet, reason, now);
+    return awaits ? dropped(reason) : rejected(reason);
 }
 
 /// Offers a new flow that no candidate of this service has room for to another target of its route. `own` is the load
@@ -122,8 +128,11 @@
     }
     if (uses_outdated_table(header, agent))
         return search_own_chain(packet, header, agent, now);
-    if (admission_.is_within_limits(agent.admission, flows_.open_flows(), now))
+    const auto refusal = admission_.assignment_refusal_reason(packet, agent, flows_.open_flows(), now);
+    if (!refusal)
         return begin_flow(packet, header, agent, now);
+    if (*refusal == packet_reason::overloaded)
+        return refuse_new_flow(packet, header, *refusal, now);
     // If a restarted member cannot take a datagram, the candidates may begin the flow.
     auto placed = header;
     placed.restarted.reset();
