routing: Reject callers at once while those of an outage return

Cause: for the first 600 ms of an overload a refused SYN is dropped, so that its retransmission finds a slot. After an outage all callers are there already, and the slots go to those who are late in any case. Change: overload_monitor decides whether an overload lasts. For 2 s after the upstream's run or the agent beside it began, it does from its beginning, and a refused caller is rejected at once; it may try twice again within its latency target.

--- a/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
+++ b/libraries/ibisdyke/frontends/packets/tests/packet_path_test.cpp
@@ -14,8 +14,8 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
-#include <semaphore>
 #include <optional>
+#include <semaphore>
 #include <string>
 #include <thread>
 #include <tins/ip.h>
--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -18,10 +18,6 @@
 /// gets up to one waiting request for each slot.
 constexpr int assumed_service_percent = 25;
 
-/// An upstream that has had no free slot for this long is unlikely to have one at a caller's next retransmission. Equal
-/// to the time from a caller's first SYN to its last retransmission.
-constexpr core::milliseconds sustained_overload{600};
-
 /// Callers give up after this many retransmissions of a SYN.
 constexpr std::uint32_t last_retransmission = 2;
 
@@ -93,8 +89,7 @@
     if (refused == packet_reason::yields)
         return true;
     const bool is_full = refused == packet_reason::overloaded || refused == packet_reason::lower_priority;
-    const auto since = pending_.busy_since();
-    return is_full && (!since || now - *since < sustained_overload);
+    return is_full && !overload_.is_lasting(pending_.busy_since(), now);
 }
 
 bool flow_admission_control::is_within_limits(
@@ -153,6 +148,7 @@
     if (std::exchange(upstream_, run) != run) {
         // Failures of an earlier process of the upstream say nothing about the present one.
         failures_.reset();
+        overload_.record_start(now);
     }
     pending_.set_slots(limits.slots);
     pace_.update({run, limits.paces_starts, limits.accepts_new_flows, failures_.is_failing(now), limits.slots}, now);
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -5,6 +5,7 @@
 #include "ibisdyke/routing/agent_snapshot.h"
 #include "ibisdyke/routing/failure_detector.h"
 #include "ibisdyke/routing/messages.h"
+#include "ibisdyke/routing/overload_monitor.h"
 #include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/pending_requests.h"
@@ -82,6 +83,7 @@
     void record_failure(core::time_point now);
 
     pending_requests pending_;
+    overload_monitor overload_;
     priority_room priorities_;
     failure_detector failures_;
     start_pace pace_;
