routing: Select another target when the selected one has no members

Cause: a route may give a weight to a service whose hosts have not joined yet. The balancer dropped the SYNs that the hash gave to it (forwarder_dropped_without_upstream), because there is no agent that could offer them to another target.

Change: the balancer selects another target with a weight above 0 and candidates for such a SYN, with the function that the agents use. A service whose members are all ineligible is handled by its agents, as before this commit.

--- a/libraries/ibisdyke/routing/chain_router.cpp
+++ b/libraries/ibisdyke/routing/chain_router.cpp
@@ -1,5 +1,7 @@
 #include "ibisdyke/routing/chain_router.h"
 
+#include "ibisdyke/routing/target_overflow.h"
+
 #include <utility>
 
 namespace ibisdyke::routing {
@@ -40,6 +42,14 @@
         is_syn ? reordered->unreachable : 0};
 }
 
+/// Returns the index of a target that takes a new flow because the selected one has no members.
+std::uint32_t chain_router::find_other_target(const flow_key& flow, std::uint32_t selected) const
+{
+    const auto& chains = *table_->chains;
+    const auto target = select_other_target(chains, flow, {chains.services()[selected]->service().id});
+    return target ? target->index : routing_table::no_service;
+}
+
 std::optional<route> chain_router::select(const packet_info& packet, core::time_point now)
 {
     if (!table_)
@@ -52,6 +62,8 @@
         service != routing_table::no_service && chains.services()[service]->first_endpoint(bucket) != nullptr;
     if (!has_members && !may_start_flow(packet.kind))
         service = chains.find_holder(packet.flow);
+    else if (!has_members && packet.kind == packet_kind::syn && service != routing_table::no_service)
+        service = find_other_target(packet.flow, service);
     if (service == routing_table::no_service)
         return std::nullopt;
     const auto& service_chains = *chains.services()[service];
--- a/libraries/ibisdyke/routing/chain_router.h
+++ b/libraries/ibisdyke/routing/chain_router.h
@@ -29,6 +29,7 @@
     /// does no harm if another one does.
     static bool may_place(const packet_info& syn, const chain& bucket_chain, core::time_point::duration age);
 
+    std::uint32_t find_other_target(const flow_key& flow, std::uint32_t selected) const;
     /// Returns the route along the reordered chain, or nothing when all members or no candidates are reachable.
     std::optional<route> select_reordered_chain(const packet_info& packet, std::uint32_t service, std::uint16_t chain);
     /// Returns the reordered chain from the cache and computes it at the first use.
--- a/libraries/ibisdyke/routing/target_overflow.cpp
+++ b/libraries/ibisdyke/routing/target_overflow.cpp
@@ -22,41 +22,10 @@
     return !it.load.failing && it.load.queue_per_mille == 0;
 }
 
-const chain* find_candidates(const agent_snapshot& agent, const core::service_id& service, const flow_key& flow)
+bool has_candidates(const routing_table& table, const core::service_id& service, const flow_key& flow)
 {
-    const auto* const result = agent.table->find_chain(service, bucket_of_flow(flow));
-    return result == nullptr || result->candidates == 0 ? nullptr : result;
-}
-
-/// Returns the targets that the flow may be offered to.
-std::vector<route_target> other_targets(
-    const flow_route& route, const packet_info& packet, const packet_header& header, const agent_snapshot& agent)
-{
-    std::vector<route_target> result;
-    for (const auto& it : route.targets) {
-        if (it.weight > 0 && it.service != header.service && !contains(header.offered, it.service)
-            && find_candidates(agent, it.service, packet.flow) != nullptr)
-            result.push_back(it);
-    }
-    return result;
-}
-
-/// Selects a target for the flow in proportion to the weights.
-core::service_id select_target(const std::vector<route_target>& targets, const flow_key& flow)
-{
-    // The selection of the first target used the upper bits of the hash. Multiplying it by an odd number makes the
-    // choice among the others independent of that.
-    constexpr std::uint64_t multiplier = 0x9e37'79b9'7f4a'7c15;
-    std::uint64_t total = 0;
-    for (const auto& it : targets)
-        total += it.weight;
-    auto offset = ((hash_of(flow) * multiplier) >> 32U) % total;
-    for (const auto& it : targets) {
-        if (offset < it.weight)
-            return it.service;
-        offset -= it.weight;
-    }
-    return targets.back().service;
+    const auto* const members = table.find_chain(service, bucket_of_flow(flow));
+    return members != nullptr && members->candidates > 0;
 }
 
 /// Returns the header of a packet that leaves the header's service for another one.
@@ -77,8 +46,9 @@
 }
 
 std::optional<packet_header> offer_to_target(const packet_info& packet, const packet_header& header,
-    const core::service_id& service, const chain& members, const agent_snapshot& agent)
+    const core::service_id& service, const agent_snapshot& agent)
 {
+    const auto& members = *agent.table->find_chain(service, bucket_of_flow(packet.flow));
     auto result = enter_service(header, service, members, agent.applied);
     result.phase = can_place_at_once(packet, members) ? search_phase::place : search_phase::find;
     if (!result.unanswering)
@@ -132,6 +102,34 @@
 
 } // namespace
 
+std::optional<route_target> select_other_target(
+    const routing_table& table, const flow_key& flow, const std::vector<core::service_id>& excluded)
+{
+    const auto* const route = table.destinations().find(flow);
+    if (route == nullptr)
+        return std::nullopt;
+    std::vector<route_target> targets;
+    std::uint64_t total = 0;
+    for (const auto& it : route->targets) {
+        if (it.weight == 0 || contains(excluded, it.service) || !has_candidates(table, it.service, flow))
+            continue;
+        targets.push_back(it);
+        total += it.weight;
+    }
+    if (targets.empty())
+        return std::nullopt;
+    // The selection of the first target used the upper bits of the hash. Multiplying it by an odd number makes the
+    // choice among the others independent of that.
+    constexpr std::uint64_t multiplier = 0x9e37'79b9'7f4a'7c15;
+    auto offset = ((hash_of(flow) * multiplier) >> 32U) % total;
+    for (const auto& it : targets) {
+        if (offset < it.weight)
+            return it;
+        offset -= it.weight;
+    }
+    return targets.back();
+}
+
 std::optional<overflow_decision> decide_overflow(const packet_info& packet, const packet_header& header,
     const agent_snapshot& agent, const candidate_answers& answers, core::time_point now)
 {
@@ -143,11 +141,11 @@
     if (route == nullptr)
         return std::nullopt;
     const auto best = prefer_earlier(header.queueing_candidate, answers.best);
-    const auto targets = other_targets(*route, packet, header, agent);
-    if (!targets.empty() && header.offered.size() < max_offered_services) {
-        const auto service = select_target(targets, packet.flow);
-        auto next = offer_to_target(packet, header, service, *find_candidates(agent, service, packet.flow), agent);
-        if (next) {
+    auto excluded = header.offered;
+    excluded.push_back(header.service);
+    const auto target = select_other_target(*agent.table, packet.flow, excluded);
+    if (target && header.offered.size() < max_offered_services) {
+        if (auto next = offer_to_target(packet, header, target->service, agent)) {
             next->queueing_candidate = best;
             next->awaits_retransmission |= answers.awaits_retransmission;
             return overflow_decision{overflow_step::offered, *std::move(next)};
--- a/libraries/ibisdyke/routing/target_overflow.h
+++ b/libraries/ibisdyke/routing/target_overflow.h
@@ -3,12 +3,16 @@
 #include "ibisdyke/core/ids.h"
 #include "ibisdyke/core/time.h"
 #include "ibisdyke/routing/agent_snapshot.h"
+#include "ibisdyke/routing/flow_key.h"
+#include "ibisdyke/routing/flow_route.h"
 #include "ibisdyke/routing/flow_table.h"
 #include "ibisdyke/routing/messages.h"
 #include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_info.h"
+#include "ibisdyke/routing/routing_table.h"
 
 #include <optional>
+#include <vector>
 
 /// Decides when a new flow leaves the target that its hash selects for another target of its route.
 ///
@@ -37,6 +41,11 @@
     friend bool operator==(const overflow_decision&, const overflow_decision&) = default;
 };
 
+/// Selects a target of the flow's route in proportion to the weights, among those that have a weight above 0 and
+/// candidates and are not excluded. Returns nothing if there is none.
+std::optional<route_target> select_other_target(
+    const routing_table& table, const flow_key& flow, const std::vector<core::service_id>& excluded);
+
 /// Decides whether a SYN that all candidates of the header's service have answered is offered to another target, or
 /// returned to an earlier target's candidate that may queue it. Returns nothing if the flow stays in this service: a
 /// candidate has room, the agent's table may be out of date, or the route has no other target with a weight above 0.
--- a/libraries/ibisdyke/routing/tests/target_overflow_test.cpp
+++ b/libraries/ibisdyke/routing/tests/target_overflow_test.cpp
@@ -7,9 +7,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 
@@ -36,7 +36,7 @@
     static inline const core::service_id small{2};
 
     split_route(std::size_t large_hosts, std::size_t small_hosts)
-        : services_{{large, "large", make_members(large_hosts), {}}, {small, "small", make_members(small_hosts), {}}}
+        : services{{large, "large", make_members(large_hosts), {}}, {small, "small", make_members(small_hosts), {}}}
     {
         set_weights(1, 1);
     }
@@ -45,23 +45,16 @@
     void set_weights(std::uint32_t weight_of_large, std::uint32_t weight_of_small)
     {
         ++version_.index;
-        const routing::flow_route route{
-            route_address, {{large, weight_of_large}, {small, weight_of_small}}, {}, /*latency_target=*/100ms};
-        table = routing::routing_table::create(version_, services_, nullptr, {{route}, {}});
+        table = routing::routing_table::create(version_, services, nullptr,
+            {{{route_address, {{large, weight_of_large}, {small, weight_of_small}}, {}, 100ms}}, {}});
         router_.set_table(routing::forwarding_table::create(table, nullptr, now));
     }
 
     routing::flow_agent& agent(const core::upstream_id& id)
     {
-        auto& result = agents_[id];
-        if (!result)
-            result = std::make_unique<routing::flow_agent>(routing::flow_limits{}, 100, routing::rejection_limits{});
-        return *result;
+        return agents.try_emplace(id, routing::flow_limits{}, 100, routing::rejection_limits{}).first->second;
     }
 
-    /// Restarts the agent, which loses its flows and redirect entries.
-    void restart(const core::upstream_id& id) { agents_.erase(id); }
-
     core::service_id service_of(const core::upstream_id& id) const
     {
         return table->find_service(large)->find_member(id) != nullptr ? large : small;
@@ -79,23 +72,17 @@
         result.upstream_returns_packets = true;
         result.admission.slots = slots;
         result.admission.mean_open_flows = 1000;
-        result.admission.accepts_new_flows = !draining.contains(id);
-        result.domain_out_of_service = domains_out.contains(id);
-        return result;
-    }
-
-    static routing::packet_info syn(std::uint32_t caller, std::uint32_t retransmissions = 0)
-    {
-        auto result = simulated_hosts::packet(caller, packet_kind::syn);
-        result.may_be_placed_twice = true;
-        result.syn_retransmissions = retransmissions;
+        result.admission.accepts_new_flows = !draining.contains(result.service);
+        result.domain_out_of_service = out_of_service.contains(result.service);
         return result;
     }
 
-    static routing::packet_info data(std::uint32_t caller)
+    static routing::packet_info packet(std::uint32_t caller, packet_kind kind, std::uint32_t syn_retransmissions = 0)
     {
-        auto result = simulated_hosts::packet(caller, packet_kind::segment);
-        result.has_data = true;
+        auto result = simulated_hosts::packet(caller, kind);
+        result.may_be_placed_twice = kind == packet_kind::syn;
+        result.syn_retransmissions = syn_retransmissions;
+        result.has_data = kind == packet_kind::segment;
         return result;
     }
 
@@ -104,14 +91,17 @@
     {
         const auto selected = router_.select(packet, now);
         REQUIRE(selected);
-        auto header = make_header(*selected);
+        routing::packet_header header;
+        header.table = table->at();
+        routing::detail::reset_search(header, table->services()[selected->service]->service().id, *selected->members);
+        header.phase = selected->phase;
         steps.clear();
         for (std::uint32_t visits = 1; visits < 100; ++visits) {
             const auto id = header.chain[header.position].id;
             if (crashed.contains(id))
                 return {packet_action::drop, packet_reason::none, id, visits};
             auto decision = agent(id).decide(packet, header, snapshot_of(id), now);
-            steps.push_back(decision.overflow);
+            steps.insert(decision.overflow);
             if (decision.action != packet_action::forward)
                 return {decision.action, decision.reason, id, visits};
             // Agents exchange the encoded header.
@@ -124,12 +114,12 @@
     /// Gives each host of the service this many requests without a response.
     void load(const core::service_id& service, std::uint32_t requests)
     {
-        for (const auto& it : services_[service == large ? 0 : 1].members) {
+        for (const auto& it : services[service == large ? 0 : 1].members) {
             for (std::uint32_t i = 0; i < requests; ++i) {
-                const auto packet = syn(next_background_caller_++);
-                auto header = *routing::flow_agent::make_header(packet, snapshot_of(it.target.id));
+                const auto syn = packet(1'000'000 + i, packet_kind::syn);
+                auto header = *routing::flow_agent::make_header(syn, snapshot_of(it.target.id));
                 header.phase = search_phase::assign;
-                agent(it.target.id).decide(packet, header, snapshot_of(it.target.id), now);
+                agent(it.target.id).decide(syn, header, snapshot_of(it.target.id), now);
             }
         }
     }
@@ -138,34 +128,17 @@
     std::uint32_t caller_of(const core::service_id& service) const
     {
         std::uint32_t caller = 1;
-        while (table->destinations().choose(syn(caller).flow)->service != service)
+        while (table->destinations().choose(packet(caller, packet_kind::syn).flow)->service != service)
             ++caller;
         return caller;
     }
 
-    std::uint32_t next_caller() { return next_caller_++; }
-
-    std::vector<routing::member> members_of_large() const { return services_.front().members; }
-
-    bool has_step(overflow_step step) const { return std::find(steps.begin(), steps.end(), step) != steps.end(); }
-
-    std::shared_ptr<const routing::routing_table> table;
-    core::time_point now{100s};
-    bool are_tables_current = true;
-    std::set<core::upstream_id> draining;
-    std::set<core::upstream_id> domains_out;
-    std::set<core::upstream_id> crashed;
-    /// Of the last packet sent.
-    std::vector<overflow_step> steps;
-
-private:
     std::vector<routing::member> make_members(std::size_t n)
     {
         std::vector<routing::member> result(n);
         for (auto& it : result) {
-            ++next_upstream_;
-            it.target.id = core::upstream_id(next_upstream_);
-            it.target.packet_endpoint = {0x0a000000 + static_cast<std::uint32_t>(next_upstream_), 7000};
+            it.target.id = core::upstream_id(++last_upstream);
+            it.target.packet_endpoint = {0x0a000000 + static_cast<std::uint32_t>(last_upstream), 7000};
             it.eligible = true;
             it.reachable = true;
             it.history = {{{1, 1}, std::nullopt}};
@@ -173,22 +146,23 @@
         return result;
     }
 
-    routing::packet_header make_header(const routing::route& selected) const
-    {
-        routing::packet_header result;
-        result.table = table->at();
-        routing::detail::reset_search(result, table->services()[selected.service]->service().id, *selected.members);
-        result.phase = selected.phase;
-        return result;
-    }
+    std::uint64_t last_upstream = 0;
+    /// Changes apply with the next call of set_weights().
+    std::vector<routing::service_members> services;
+    std::shared_ptr<const routing::routing_table> table;
+    /// An agent that is removed here has restarted: it loses its flows and redirect entries.
+    std::map<core::upstream_id, routing::flow_agent> agents;
+    core::time_point now{100s};
+    bool are_tables_current = true;
+    std::set<core::service_id> draining;
+    std::set<core::service_id> out_of_service;
+    std::set<core::upstream_id> crashed;
+    /// The overflow steps of the last packet sent.
+    std::set<overflow_step> steps;
 
-    std::uint64_t next_upstream_ = 0;
-    std::uint32_t next_caller_ = 0;
-    std::uint32_t next_background_caller_ = 1'000'000;
+private:
     core::version version_{1, 10};
-    std::vector<routing::service_members> services_;
     routing::chain_router router_;
-    std::map<core::upstream_id, std::unique_ptr<routing::flow_agent>> agents_;
 };
 
 struct burst_outcome {
@@ -196,32 +170,25 @@
     std::size_t taken_by_other_target = 0;
 };
 
-/// Sends one new flow every `gap` and answers each after the service time of its host's slots.
-burst_outcome replay(split_route& route, std::size_t flows, std::chrono::nanoseconds gap)
+/// Sends one new flow every `gap`. The slots of its host answer it after the service time.
+burst_outcome replay(split_route& route, std::uint32_t first_caller, std::uint32_t flows, std::chrono::nanoseconds gap)
 {
     burst_outcome result;
-    using response = std::pair<core::time_point, std::pair<core::upstream_id, std::uint32_t>>;
-    std::priority_queue<response, std::vector<response>, std::greater<>> responses;
-    std::map<core::upstream_id, std::vector<core::time_point>> free_times;
-    for (std::size_t i = 0; i < flows; ++i, route.now += gap) {
-        const auto caller = route.next_caller();
-        for (; !responses.empty() && responses.top().first <= route.now; responses.pop()) {
-            const auto& [at, of] = responses.top();
-            auto answer = simulated_hosts::packet(of.second, packet_kind::segment);
-            answer.has_data = true;
-            route.agent(of.first).record_response(answer, at);
-            answer.kind = packet_kind::closing;
-            route.agent(of.first).record_response(answer, at);
+    std::multimap<core::time_point, std::pair<core::upstream_id, std::uint32_t>> responses;
+    std::map<core::upstream_id, std::array<core::time_point, slots>> free_times;
+    for (auto caller = first_caller; caller < first_caller + flows; ++caller, route.now += gap) {
+        for (; !responses.empty() && responses.begin()->first <= route.now; responses.erase(responses.begin())) {
+            const auto& [at, of] = *responses.begin();
+            for (const auto kind : {packet_kind::segment, packet_kind::closing})
+                route.agent(of.first).record_response(split_route::packet(of.second, kind), at);
         }
-        const auto end = route.send(split_route::syn(caller));
+        const auto end = route.send(split_route::packet(caller, packet_kind::syn));
         if (end.action != packet_action::place) {
             ++result.refused;
             continue;
         }
-        result.taken_by_other_target += route.has_step(overflow_step::taken) ? 1U : 0U;
-        auto& hosts_slots = free_times[end.at];
-        hosts_slots.resize(slots);
-        auto& slot = *std::min_element(hosts_slots.begin(), hosts_slots.end());
+        result.taken_by_other_target += route.steps.count(overflow_step::taken);
+        auto& slot = *std::min_element(free_times[end.at].begin(), free_times[end.at].end());
         slot = std::max(slot, route.now) + service_time;
         responses.emplace(slot, std::pair(end.at, caller));
     }
@@ -239,9 +206,9 @@
         it.are_tables_current = can_overflow;
         // 30 slots of 24 ms serve 1,250 flows a second, of which the small service serves 250. 800 arrive.
         it.set_weights(90, 10);
-        CHECK(replay(it, 500, 1250us).refused == 0);
+        CHECK(replay(it, 0, 500, 1250us).refused == 0);
         it.set_weights(50, 50);
-        return replay(it, 2000, 1250us);
+        return replay(it, 500, 2000, 1250us);
     };
     const auto bound = run(false);
     CHECK(bound.refused > 200);
@@ -256,7 +223,7 @@
 {
     split_route it(6, 6);
     it.set_weights(95, 5);
-    const auto ordinary = replay(it, 1000, 8ms);
+    const auto ordinary = replay(it, 0, 1000, 8ms);
     CHECK(ordinary.refused == 0);
     CHECK(ordinary.taken_by_other_target == 0);
 }
@@ -275,10 +242,29 @@
     if (reason == "weight 0")
         it.set_weights(1, 0);
     it.are_tables_current = reason != "unconfirmed table";
-    for (std::uint64_t id = 4; may_offer && id <= 6; ++id)
-        (reason == "draining" ? it.draining : it.domains_out).insert(core::upstream_id(id));
-    CHECK(it.send(split_route::syn(caller)).action != packet_action::place);
-    CHECK(it.has_step(overflow_step::offered) == may_offer);
+    if (may_offer)
+        (reason == "draining" ? it.draining : it.out_of_service).insert(split_route::small);
+    CHECK(it.send(split_route::packet(caller, packet_kind::syn)).action != packet_action::place);
+    CHECK(it.steps.contains(overflow_step::offered) == may_offer);
+}
+
+// A plan may give a weight to a service whose hosts have not joined yet, or have all been drained.
+TEST_CASE("a target without candidates leaves its flows to the other one")
+{
+    split_route it(3, 3);
+    const auto caller = it.caller_of(split_route::large);
+    if (GENERATE(false, true))
+        it.services.front().members.clear();
+    for (auto& member : it.services.front().members) {
+        member.eligible = false;
+        member.history.back().to = it.table->at();
+    }
+    it.set_weights(1, 1);
+    const auto placed = it.send(split_route::packet(caller, packet_kind::syn));
+    CHECK(placed.action == packet_action::place);
+    const auto data = it.send(split_route::packet(caller, packet_kind::segment));
+    CHECK(data.action == packet_action::deliver);
+    CHECK(data.at == placed.at);
 }
 
 // When all targets are full, the flow must not circle between them. Its weights entitle the first one to queue it.
@@ -288,12 +274,12 @@
     const auto caller = it.caller_of(split_route::small);
     it.load(split_route::large, slots + 1);
     it.load(split_route::small, slots + 1);
-    const auto end = it.send(split_route::syn(caller));
+    const auto end = it.send(split_route::packet(caller, packet_kind::syn));
     CHECK(end.action == packet_action::place);
     CHECK(it.service_of(end.at) == split_route::small);
-    CHECK(it.has_step(overflow_step::returned));
+    CHECK(it.steps.contains(overflow_step::returned));
     CHECK(end.visits <= 7);
-    const auto data = it.send(split_route::data(caller));
+    const auto data = it.send(split_route::packet(caller, packet_kind::segment));
     CHECK(data.action == packet_action::deliver);
     CHECK(data.at == end.at);
 }
@@ -304,26 +290,26 @@
     split_route it(3, 3);
     const auto caller = it.caller_of(split_route::large);
     it.load(split_route::large, 12);
-    const auto placed = it.send(split_route::syn(caller));
+    const auto placed = it.send(split_route::packet(caller, packet_kind::syn));
     REQUIRE(placed.action == packet_action::place);
     REQUIRE(it.service_of(placed.at) == split_route::small);
-    REQUIRE(it.has_step(overflow_step::taken));
+    REQUIRE(it.steps.contains(overflow_step::taken));
 
     SECTION("through the redirect entries")
     {
-        CHECK(it.send(split_route::data(caller)).visits <= placed.visits);
+        CHECK(it.send(split_route::packet(caller, packet_kind::segment)).visits <= placed.visits);
     }
     SECTION("after restarts of all agents that have passed the SYN on")
     {
         for (std::uint64_t id = 1; id <= 3; ++id)
-            it.restart(core::upstream_id(id));
+            it.agents.erase(core::upstream_id(id));
     }
     SECTION("after a change of weights to either target")
     {
         const bool to_small = GENERATE(false, true);
         it.set_weights(to_small ? 0 : 1, to_small ? 1 : 0);
     }
-    const auto end = it.send(split_route::data(caller));
+    const auto end = it.send(split_route::packet(caller, packet_kind::segment));
     CHECK(end.action == packet_action::deliver);
     CHECK(end.at == placed.at);
 }
@@ -334,13 +320,13 @@
     split_route it(3, 3);
     const auto caller = it.caller_of(split_route::large);
     it.load(split_route::large, 12);
-    const auto placed = it.send(split_route::syn(caller));
+    const auto placed = it.send(split_route::packet(caller, packet_kind::syn));
     REQUIRE(it.service_of(placed.at) == split_route::small);
     it.crashed.insert(placed.at);
-    const auto again = it.send(split_route::syn(caller, 1));
+    const auto again = it.send(split_route::packet(caller, packet_kind::syn, 1));
     CHECK(again.action == packet_action::place);
     CHECK(it.service_of(again.at) == split_route::small);
-    const auto data = it.send(split_route::data(caller));
+    const auto data = it.send(split_route::packet(caller, packet_kind::segment));
     CHECK(data.action == packet_action::deliver);
     CHECK(data.at == again.at);
 }
@@ -351,9 +337,9 @@
     split_route it(3, 3);
     const auto caller = it.caller_of(split_route::large);
     it.load(split_route::large, 12);
-    const auto placed = it.send(split_route::syn(caller));
-    it.restart(placed.at);
-    const auto end = it.send(split_route::data(caller));
+    const auto placed = it.send(split_route::packet(caller, packet_kind::syn));
+    it.agents.erase(placed.at);
+    const auto end = it.send(split_route::packet(caller, packet_kind::segment));
     CHECK(end.action == packet_action::reject);
     CHECK(end.reason == packet_reason::unknown_flow);
 }
@@ -364,7 +350,7 @@
     std::vector<routing::service_members> services;
     routing::flow_route route{route_address, {}, {}, 0ms};
     for (std::uint64_t id = 1; id <= 7; ++id) {
-        services.push_back({core::service_id(id), "s" + std::to_string(id), split_route(1, 0).members_of_large(), {}});
+        services.push_back({core::service_id(id), "s" + std::to_string(id), split_route(0, 0).make_members(1), {}});
         route.targets.push_back({core::service_id(id), 1});
     }
     routing::agent_snapshot agent;
@@ -374,7 +360,8 @@
     routing::packet_header header;
     header.service = core::service_id(1);
     std::set<core::service_id> offered{header.service};
-    while (const auto next = decide_overflow(split_route::syn(1), header, agent, {}, core::time_point{})) {
+    while (const auto next =
+               decide_overflow(split_route::packet(1, packet_kind::syn), header, agent, {}, core::time_point{})) {
         CHECK(next->step == overflow_step::offered);
         CHECK(offered.insert(next->next.service).second);
         header = next->next;
