routing: Probe a failing upstream, so that it is not idle after it has recovered

After failures, an upstream got no new flows for up to 8 s, although it may have recovered long before. Single flows now show this: the first 2 s after the begin of a pause, and three responses in a row end the pause and begin a paced start. Ruled out: shorter pauses (each end costs at least two failed requests), and probes in pauses of up to 2 s (an upstream that fails some of its requests would cost callers a failure in each). In effect where starts are paced.

The structs of start_pace move to a detail namespace, because clang cannot use a nested struct with default member initializers in std::optional within its class.

Ran: routing_tests.

--- a/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
+++ b/libraries/ibisdyke/frontends/packets/packet_receiver.cpp
@@ -54,6 +54,7 @@
         , stalls(from.find("agent_stalls"))
         , starts(from.find("agent_upstream_starts"))
         , passed_on_in_start(from.find("agent_flows_passed_on_in_start"))
+        , recovery_probes(from.find("agent_recovery_probes"))
     {
         for (const auto it : routing::packet_reasons) {
             rejected.emplace(it, &from.find("agent_rejected_" + std::string(to_string(it))));
@@ -78,6 +79,7 @@
     observability::counter& stalls;
     observability::counter& starts;
     observability::counter& passed_on_in_start;
+    observability::counter& recovery_probes;
 };
 
 packet_receiver::packet_receiver(const packet_receiver_settings& settings, sockets receive_from, formats packet_formats,
@@ -284,10 +286,13 @@
         return counters_->malformed.add(1);
     const auto header = routing::wire::decode_packet_header(message);
     compare_versions(header, update_sender(header.sender, now), now);
+    const bool probe_due = agent_.is_probe_due(now);
     const bool start_limited = routing::may_start_flow(parsed.info.kind) && agent_.is_start_limited(now);
     const auto decision = decide(parsed.info, header, now);
-    if (decision.action == routing::packet_action::place)
+    if (decision.action == routing::packet_action::place) {
         ++next_view_.flows;
+        counters_->recovery_probes.add(probe_due ? 1 : 0);
+    }
     if (start_limited && decision.next && decision.next->phase != routing::search_phase::find)
         counters_->passed_on_in_start.add(1);
     log_decision({parsed.info, header, decision, *snapshot_, agent_.load(now), agent_.start_limit()});
--- a/libraries/ibisdyke/routing/failure_detector.h
+++ b/libraries/ibisdyke/routing/failure_detector.h
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/core/time.h"
 
+#include <algorithm>
 #include <bitset>
 #include <cstddef>
 
@@ -29,6 +30,9 @@
     /// Whether new flows should go to other candidates if any can take them.
     bool is_failing(core::time_point now) const { return now < failing_until_; }
 
+    /// Ends a pause early, because the upstream responds again. The pause after the next failure is not shorter for it.
+    void end_pause(core::time_point now) { failing_until_ = std::min(failing_until_, now); }
+
     /// Discards all outcomes when the upstream has restarted.
     void reset() { *this = {}; }
 
--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -71,7 +71,7 @@
 upstream_load flow_admission_control::load(std::size_t active_flows, core::time_point now) const
 {
     const auto queue = std::max(pending_.queue_per_mille(), pace_.excess_per_mille(pending_.size(), now));
-    return {failures_.is_failing(now), queue, static_cast<std::uint32_t>(active_flows)};
+    return {failures_.is_failing(now) && !probe_.is_due(now), queue, static_cast<std::uint32_t>(active_flows)};
 }
 
 bool flow_admission_control::is_start_limited(core::time_point now) const
@@ -83,6 +83,7 @@
 {
     new_flow_limiter_.take(now);
     pace_.record_new_flow(now);
+    probe_.record_new_flow(flow, now);
     pending_.expect(flow, now);
 }
 
@@ -91,9 +92,13 @@
     if (const auto service_time = response.has_data ? pending_.complete(response.flow, now) : std::nullopt) {
         failures_.record_success();
         pace_.record_response(*service_time, now);
+        if (probe_.record_response(response.flow, now))
+            failures_.end_pause(now);
     }
-    if (response.kind == packet_kind::closing && pending_.cancel(response.flow, now) && response.is_reset)
+    if (response.kind == packet_kind::closing && pending_.cancel(response.flow, now) && response.is_reset) {
         record_failure(now);
+        probe_.record_failure(response.flow, now);
+    }
 }
 
 void flow_admission_control::record_failure(core::time_point now)
@@ -117,6 +122,7 @@
     if (std::exchange(upstream_, run) != run)
         failures_.reset();
     pending_.set_slots(limits.slots);
+    probe_.update(limits.paces_starts && failures_.is_failing(now), now);
     pace_.update({run, limits.paces_starts, limits.accepts_new_flows, failures_.is_failing(now), limits.slots}, now);
 }
 
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -9,6 +9,7 @@
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/pending_requests.h"
 #include "ibisdyke/routing/rate_limiter.h"
+#include "ibisdyke/routing/recovery_probe.h"
 #include "ibisdyke/routing/start_pace.h"
 
 #include <cstddef>
@@ -37,12 +38,15 @@
     /// Whether the limits allow one more flow regardless of the load. False for a short time after a returned flow.
     bool is_within_limits(const flow_admission_limits& admission, std::size_t open_flows, core::time_point now);
 
-    /// Returns the load of the upstream. A failing upstream has a higher load than any other. Requests beyond the limit
-    /// of a start count as waiting, so that new flows go to other candidates first.
+    /// Returns the load of the upstream. A failing upstream has a higher load than any other, unless a recovery probe
+    /// is due. Requests beyond the limit of a start count as waiting, so that new flows go to other candidates first.
     upstream_load load(std::size_t active_flows, core::time_point now) const;
 
     bool is_failing(core::time_point now) const { return failures_.is_failing(now); }
 
+    /// Whether the next new flow may show whether a failing upstream has recovered.
+    bool is_probe_due(core::time_point now) const { return probe_.is_due(now); }
+
     /// Records that the upstream gets the first packet of a new flow.
     void record_new_flow(const flow_key& flow, core::time_point now);
 
@@ -74,6 +78,7 @@
     pending_requests pending_;
     failure_detector failures_;
     start_pace pace_;
+    recovery_probe probe_;
     /// The incarnation of the upstream to which failures_ belongs.
     core::incarnation upstream_;
     /// The upstream gets no new flows until this time, because it has returned one.
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -64,6 +64,9 @@
     /// Whether new flows should avoid the upstream because its requests fail.
     bool is_failing(core::time_point now) const { return admission_.is_failing(now); }
 
+    /// Whether the next new flow may show whether a failing upstream has recovered.
+    bool is_probe_due(core::time_point now) const { return admission_.is_probe_due(now); }
+
     /// Whether new flows go to other candidates only because the upstream has just started.
     bool is_start_limited(core::time_point now) const { return admission_.is_start_limited(now); }
 
--- a/libraries/ibisdyke/routing/start_pace.h
+++ b/libraries/ibisdyke/routing/start_pace.h
@@ -67,6 +67,39 @@
     friend bool operator==(const start_event&, const start_event&) = default;
 };
 
+namespace detail {
+
+/// The responses to the requests that the limit allows at a time.
+struct response_round {
+    std::uint32_t responses = 0;
+    std::uint32_t failures = 0;
+    std::chrono::nanoseconds total_time{0};
+    /// Whether the number of flows within a service time has been at the limit while a slot was free.
+    bool was_flow_limited = false;
+};
+
+/// A start that has not ended.
+struct start {
+    start_cause cause = start_cause::new_run;
+    core::time_point since;
+    std::uint32_t limit = 1;
+    std::uint32_t slots = 1;
+    /// The smallest latency target of the routes whose flows were offered; 0 when they have none.
+    core::milliseconds latency_target{0};
+    response_round round;
+    std::optional<std::chrono::nanoseconds> last_mean;
+    std::optional<std::chrono::nanoseconds> best_mean;
+    std::uint32_t rounds_without_improvement = 0;
+    /// Begin of the present interval of one service time, and the flows that have begun in it.
+    core::time_point interval_begin;
+    std::uint32_t interval_flows = 0;
+    std::uint64_t flows = 0;
+    std::uint64_t responses = 0;
+    std::uint64_t failures = 0;
+};
+
+} // namespace detail
+
 /// Limits the requests in progress at an upstream that has just started or recovered, and the flows that it gets within
 /// one service time. The limit doubles with each round of responses that come within the expected time, and halves when
 /// they slow down or fail. The result is a load, so that new flows go to other candidates first; the limit never
@@ -110,41 +143,13 @@
 private:
     static constexpr std::size_t max_events = 16;
 
-    /// The responses to the requests that the limit allows at a time.
-    struct response_round {
-        std::uint32_t responses = 0;
-        std::uint32_t failures = 0;
-        std::chrono::nanoseconds total_time{0};
-        /// Whether the number of flows within a service time has been at the limit while a slot was free.
-        bool was_flow_limited = false;
-    };
-
-    struct start {
-        start_cause cause = start_cause::new_run;
-        core::time_point since;
-        std::uint32_t limit = 1;
-        std::uint32_t slots = 1;
-        /// The smallest latency target of the routes whose flows were offered; 0 when they have none.
-        core::milliseconds latency_target{0};
-        response_round round;
-        std::optional<std::chrono::nanoseconds> last_mean;
-        std::optional<std::chrono::nanoseconds> best_mean;
-        std::uint32_t rounds_without_improvement = 0;
-        /// Begin of the present interval of one service time, and the flows that have begun in it.
-        core::time_point interval_begin;
-        std::uint32_t interval_flows = 0;
-        std::uint64_t flows = 0;
-        std::uint64_t responses = 0;
-        std::uint64_t failures = 0;
-    };
-
     void begin(start_cause cause, std::uint32_t slots, core::time_point now);
     void end(start_outcome outcome, core::time_point now);
     void end_round(core::time_point now);
     void add_event(std::optional<start_outcome> outcome, core::time_point now);
     std::uint32_t flows_in_interval(core::time_point now) const;
 
-    std::optional<start> start_;
+    std::optional<detail::start> start_;
     std::optional<core::incarnation> run_;
     /// Why the next start begins as soon as the upstream can take new flows.
     std::optional<start_cause> next_cause_;
--- a/libraries/ibisdyke/routing/tests/start_pace_test.cpp
+++ b/libraries/ibisdyke/routing/tests/start_pace_test.cpp
@@ -1,5 +1,6 @@
 #include "ibisdyke/routing/start_pace.h"
 
+#include "ibisdyke/routing/recovery_probe.h"
 #include "ibisdyke/testing/simulated_hosts.h"
 
 #include <algorithm>
@@ -237,7 +238,7 @@
             ++begun;
         }
     }
-    CHECK(begun == 5 * slots);
+    CHECK(begun == std::size_t{5} * slots);
 }
 
 // After a loss of power everywhere, no candidate is ahead of the others. Flows must be taken while a slot is free.
@@ -249,7 +250,7 @@
     std::size_t most = 0;
     for (const auto& [id, n] : simulation.max_in_progress)
         most = std::max(most, n);
-    CHECK(most <= 2 * slots);
+    CHECK(most <= std::size_t{2} * slots);
     // 0.8 of the capacity while the upstreams are slow, then twice the capacity.
     simulation.run(std::chrono::nanoseconds(service_time) * 2 / (3 * slots), 1s);
     CHECK(simulation.refused == 0);
@@ -295,6 +296,47 @@
     CHECK(hosts.send(retransmitted, hosts.table, search_phase::place).at == starter.id);
 }
 
+// Replays an upstream that fails every request for 9 s although it reports that it is healthy: long enough for a pause
+// of 8 s. It must get few flows while it fails, and must not be left idle to the end of the pause once it works again.
+TEST_CASE("probes find out that a failing upstream has recovered")
+{
+    simulated_hosts hosts(3);
+    const auto failing = hosts.members.front().target.id;
+    for (const auto& it : hosts.members)
+        hosts.admission[it.target.id] = {.slots = slots, .paces_starts = true};
+    hosts.update_agents();
+    std::uint32_t caller = 0;
+    // Begins a flow with one request every 5 ms. Returns how many flows went to the failing upstream.
+    const auto run_load = [&](core::milliseconds duration, bool fails) {
+        std::size_t flows = 0;
+        for (const auto end = hosts.now + duration; hosts.now < end; hosts.now += 5ms) {
+            auto syn = simulated_hosts::packet(++caller, packet_kind::syn);
+            syn.is_first = true;
+            const auto outcome = hosts.send(syn, hosts.table, search_phase::place);
+            REQUIRE(outcome.action == packet_action::place);
+            flows += outcome.at == failing ? 1 : 0;
+            auto request = simulated_hosts::packet(caller, packet_kind::segment);
+            request.has_data = true;
+            hosts.send(request, hosts.table);
+            routing::packet_info response;
+            response.flow = syn.flow;
+            response.is_reset = fails && outcome.at == failing;
+            response.has_data = !response.is_reset;
+            response.kind = packet_kind::closing;
+            hosts.agents.at(outcome.at)->record_response(response, hosts.now);
+            for (const auto& [id, agent] : hosts.agents)
+                agent->maintain(hosts.snapshot_of(id), hosts.now);
+            hosts.update_mean();
+        }
+        return flows;
+    };
+    CHECK(run_load(9s, /*fails=*/true) < 20);
+    REQUIRE(hosts.agents.at(failing)->is_failing(hosts.now));
+    run_load(routing::recovery_probe::interval + 500ms, /*fails=*/false);
+    CHECK_FALSE(hosts.agents.at(failing)->is_failing(hosts.now));
+    CHECK(run_load(2s, /*fails=*/false) > 80);
+}
+
 // The bound that operators set for a cold start is a promise to the upstream. Neither a fast start nor the lack of
 // another candidate may exceed it.
 TEST_CASE("the configured bound on new flows is never exceeded")
