--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -62,7 +62,8 @@
     if (expected_time > max_time)
         return packet_reason::overloaded;
     const auto service_time = pending_.service_time().value_or(assumed_service_time(route.latency_target));
-    const expected_wait expected{expected_time - service_time, max_time - service_time, service_time / pending_.slots()};
+    const expected_wait expected{
+        expected_time - service_time, max_time - service_time, service_time / pending_.slots()};
     return priorities_.may_wait(route.priority, expected, now) ? std::nullopt
                                                                : std::optional(packet_reason::lower_priority);
 }
