routing: Return overflowed flows to their queue with any table

Cause: the last agent that was offered a flow returned it to the candidate that would queue it only while its own table was confirmed. Otherwise it refused the flow, which would have been queued without the overflow.

Change: only an offer to another target needs a confirmed table. The candidate's agent checks the route in its own table before it takes the flow, so a return with an older table cannot violate the route.

--- a/libraries/ibisdyke/routing/target_overflow.cpp
+++ b/libraries/ibisdyke/routing/target_overflow.cpp
@@ -45,11 +45,17 @@
     return syn.is_first || syn.may_be_placed_twice || members.candidates == members.members.size();
 }
 
-std::optional<packet_header> offer_to_target(const packet_info& packet, const packet_header& header,
-    const core::service_id& service, const agent_snapshot& agent)
+/// Returns the header with which the flow is offered to another target, or nothing if there is none.
+std::optional<packet_header> offer_to_other_target(
+    const packet_info& packet, const packet_header& header, const agent_snapshot& agent)
 {
-    const auto& members = *agent.table->find_chain(service, bucket_of_flow(packet.flow));
-    auto result = enter_service(header, service, members, agent.applied);
+    auto excluded = header.offered;
+    excluded.push_back(header.service);
+    const auto target = select_other_target(*agent.table, packet.flow, excluded);
+    if (!target || header.offered.size() >= max_offered_services)
+        return std::nullopt;
+    const auto& members = *agent.table->find_chain(target->service, bucket_of_flow(packet.flow));
+    auto result = enter_service(header, target->service, members, agent.applied);
     result.phase = can_place_at_once(packet, members) ? search_phase::place : search_phase::find;
     if (!result.unanswering)
         return result;
@@ -73,12 +79,15 @@
     return earlier;
 }
 
+/// The agent of the candidate checks the route in its own table, too, so a table that is out of date does no harm.
 std::optional<overflow_decision> return_to_candidate(
-    const flow_route& route, const packet_info& packet, const packet_header& header, const agent_snapshot& agent)
+    const packet_info& packet, const packet_header& header, const agent_snapshot& agent)
 {
     const auto& to = *header.queueing_candidate;
-    const bool is_target = std::any_of(route.targets.begin(), route.targets.end(),
-        [&to](const auto& it) { return it.service == to.service && it.weight > 0; });
+    const auto* const route = agent.table->destinations().find(packet.flow);
+    const bool is_target = route != nullptr
+        && std::any_of(route->targets.begin(), route->targets.end(),
+            [&to](const auto& it) { return it.service == to.service && it.weight > 0; });
     const auto* const members = agent.table->find_chain(to.service, bucket_of_flow(packet.flow));
     if (!is_target || members == nullptr)
         return std::nullopt;
@@ -97,7 +106,7 @@
 /// control process has confirmed lately, may name a target that the route no longer has.
 bool is_table_current(const packet_header& header, const agent_snapshot& agent, core::time_point now)
 {
-    return agent.table && header.table <= agent.applied && now < agent.table_current_until;
+    return header.table <= agent.applied && now < agent.table_current_until;
 }
 
 } // namespace
@@ -133,19 +142,11 @@
 std::optional<overflow_decision> decide_overflow(const packet_info& packet, const packet_header& header,
     const agent_snapshot& agent, const candidate_answers& answers, core::time_point now)
 {
-    if (packet.kind != packet_kind::syn || (answers.best && has_room(*answers.best)))
-        return std::nullopt;
-    if (!is_table_current(header, agent, now))
-        return std::nullopt;
-    const auto* const route = agent.table->destinations().find(packet.flow);
-    if (route == nullptr)
+    if (packet.kind != packet_kind::syn || !agent.table || (answers.best && has_room(*answers.best)))
         return std::nullopt;
     const auto best = prefer_earlier(header.queueing_candidate, answers.best);
-    auto excluded = header.offered;
-    excluded.push_back(header.service);
-    const auto target = select_other_target(*agent.table, packet.flow, excluded);
-    if (target && header.offered.size() < max_offered_services) {
-        if (auto next = offer_to_target(packet, header, target->service, agent)) {
+    if (is_table_current(header, agent, now)) {
+        if (auto next = offer_to_other_target(packet, header, agent)) {
             next->queueing_candidate = best;
             next->awaits_retransmission |= answers.awaits_retransmission;
             return overflow_decision{overflow_step::offered, *std::move(next)};
@@ -153,7 +154,7 @@
     }
     if (!best || best == answers.best)
         return std::nullopt;
-    return return_to_candidate(*route, packet, header, agent);
+    return return_to_candidate(packet, header, agent);
 }
 
 std::optional<packet_header> follow_redirect_to_service(
