--- a/libraries/ibisdyke/routing/target_overflow.cpp
+++ b/libraries/ibisdyke/routing/target_overflow.cpp
@@ -16,15 +16,10 @@
     return std::find(services.begin(), services.end(), service) != services.end();
 }
 
-/// Queue, in thousandths of the slots, from which on a flow leaves its target. A shorter queue delays the first request
-/// by less than a service time, while every packet of a flow at another target visits up to three more agents, for as
-/// long as the flow is open.
-constexpr std::uint32_t min_overflow_queue_per_mille = 1000;
-
-/// Whether the flow stays at the candidate.
+/// Whether the candidate can serve a request at once.
 bool has_room(const target_fallback& it)
 {
-    return !it.load.failing && it.load.queue_per_mille < min_overflow_queue_per_mille;
+    return !it.load.failing && it.load.queue_per_mille == 0;
 }
 
 bool has_candidates(const routing_table& table, const core::service_id& service, const flow_key& flow)
