routing: Count a response whose FIN arrives before its data for the pace of a start

A FIN now counts as the response for the pace and the probes. The service time of the latency bound and the outcomes of the failure detector still miss these responses; that is left as it is here, because it changes what is refused under overload.

A start also ends 5 s after its first flow, whatever has been measured.

--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -91,16 +91,30 @@
 {
     if (const auto service_time = response.has_data ? pending_.complete(response.flow, now) : std::nullopt) {
         failures_.record_success();
-        pace_.record_response(*service_time, now);
-        if (probe_.record_response(response.flow, now))
-            failures_.end_pause(now);
+        record_answer(response.flow, *service_time, now);
     }
-    if (response.kind == packet_kind::closing && pending_.cancel(response.flow, now) && response.is_reset) {
+    const auto closed_after =
+        response.kind == packet_kind::closing ? pending_.cancel(response.flow, now) : std::nullopt;
+    if (!closed_after)
+        return;
+    if (response.is_reset) {
         record_failure(now);
         probe_.record_failure(response.flow, now);
+    } else {
+        // The network may deliver the FIN of a short response before its data.
+        record_answer(response.flow, *closed_after, now);
     }
 }
 
+/// Records a response for the pace of a start and for the probes.
+void flow_admission_control::record_answer(
+    const flow_key& flow, std::chrono::nanoseconds service_time, core::time_point now)
+{
+    pace_.record_response(service_time, now);
+    if (probe_.record_response(flow, now))
+        failures_.end_pause(now);
+}
+
 void flow_admission_control::record_failure(core::time_point now)
 {
     failures_.record_failure(now);
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -12,6 +12,7 @@
 #include "ibisdyke/routing/recovery_probe.h"
 #include "ibisdyke/routing/start_pace.h"
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <vector>
@@ -74,6 +75,7 @@
 private:
     void update_upstream(const agent_snapshot& agent, core::time_point now);
     void record_failure(core::time_point now);
+    void record_answer(const flow_key& flow, std::chrono::nanoseconds service_time, core::time_point now);
 
     pending_requests pending_;
     failure_detector failures_;
--- a/libraries/ibisdyke/routing/pending_requests.cpp
+++ b/libraries/ibisdyke/routing/pending_requests.cpp
@@ -22,6 +22,12 @@
     return service_time * (per_mille + queue_per_mille) / per_mille;
 }
 
+/// Returns the service time of a request that began behind a queue of `queue_per_mille` thousandths of the slots.
+std::chrono::nanoseconds without_queue_time(std::chrono::nanoseconds response_time, std::uint32_t queue_per_mille)
+{
+    return response_time * per_mille / (per_mille + queue_per_mille);
+}
+
 } // namespace
 
 void pending_requests::start(const flow_key& flow, core::time_point now, request_state state)
@@ -35,15 +41,17 @@
     update_busy_since(now);
 }
 
-bool pending_requests::cancel(const flow_key& flow, core::time_point now)
+std::optional<std::chrono::nanoseconds> pending_requests::cancel(const flow_key& flow, core::time_point now)
 {
     const auto it = requests_.find(flow);
     if (it == requests_.end())
-        return false;
-    const bool was_sent = it->second.state == request_state::sent;
+        return std::nullopt;
+    const auto removed = it->second;
     requests_.erase(it);
     update_busy_since(now);
-    return was_sent;
+    if (removed.state != request_state::sent)
+        return std::nullopt;
+    return without_queue_time(now - removed.since, removed.queue_per_mille);
 }
 
 std::size_t pending_requests::take_overdue_count(core::time_point now)
@@ -75,8 +83,7 @@
     const auto it = requests_.find(flow);
     if (it == requests_.end())
         return std::nullopt;
-    const std::chrono::nanoseconds response_time = now - it->second.since;
-    const auto sample = response_time * per_mille / (per_mille + it->second.queue_per_mille);
+    const auto sample = without_queue_time(now - it->second.since, it->second.queue_per_mille);
     service_time_ = service_time_ ? *service_time_ + (sample - *service_time_) / average_divisor : sample;
     requests_.erase(it);
     update_busy_since(now);
--- a/libraries/ibisdyke/routing/pending_requests.h
+++ b/libraries/ibisdyke/routing/pending_requests.h
@@ -37,9 +37,9 @@
     /// not counting the wait for a slot, or nothing if there was no request.
     std::optional<std::chrono::nanoseconds> complete(const flow_key& flow, core::time_point now);
 
-    /// Removes a request when the flow has ended or the upstream does not hold it. Returns whether a request had been
-    /// sent and had no response.
-    bool cancel(const flow_key& flow, core::time_point now);
+    /// Removes a request when the flow has ended or the upstream does not hold it. Returns how long the upstream has
+    /// worked on it, as complete() does, or nothing if no request had been sent. Does not count towards service_time().
+    std::optional<std::chrono::nanoseconds> cancel(const flow_key& flow, core::time_point now);
 
     /// Returns how many requests have become overdue since the last call. A request is overdue when it has no response
     /// after several times the upstream's service time.
--- a/libraries/ibisdyke/routing/start_pace.cpp
+++ b/libraries/ibisdyke/routing/start_pace.cpp
@@ -63,6 +63,8 @@
         return "full_pace";
     case start_outcome::settled:
         return "settled";
+    case start_outcome::expired:
+        return "expired";
     case start_outcome::aborted:
         break;
     }
@@ -81,6 +83,8 @@
     const bool is_paced = upstream.is_paced && upstream.slots > 0;
     if (start_ && (next_cause_ || !is_paced))
         end(start_outcome::aborted, now);
+    if (start_ && start_->first_flow && now - *start_->first_flow >= max_duration)
+        end(start_outcome::expired, now);
     if (!next_cause_ || !upstream.accepts_new_flows || upstream.failing)
         return;
     const auto cause = *std::exchange(next_cause_, std::nullopt);
@@ -124,6 +128,8 @@
         start_->interval_begin = now;
         start_->interval_flows = 0;
     }
+    if (!start_->first_flow)
+        start_->first_flow = now;
     ++start_->interval_flows;
     ++start_->flows;
 }
--- a/libraries/ibisdyke/routing/start_pace.h
+++ b/libraries/ibisdyke/routing/start_pace.h
@@ -27,6 +27,8 @@
     full_pace,
     /// The service time does not improve any more.
     settled,
+    /// The start has lasted for max_duration since its first flow.
+    expired,
     /// The upstream has begun to fail, accepts no new flows, has restarted, or is no longer to be paced.
     aborted,
 };
@@ -34,7 +36,7 @@
 /// Returns "new_run", "readmission" or "recovery".
 std::string_view to_string(start_cause it);
 
-/// Returns "full_pace", "settled" or "aborted".
+/// Returns "full_pace", "settled", "expired" or "aborted".
 std::string_view to_string(start_outcome it);
 
 /// What is known about the upstream before a decision.
@@ -82,6 +84,7 @@
 struct start {
     start_cause cause = start_cause::new_run;
     core::time_point since;
+    std::optional<core::time_point> first_flow;
     std::uint32_t limit = 1;
     std::uint32_t slots = 1;
     /// The smallest latency target of the routes whose flows were offered; 0 when they have none.
@@ -112,7 +115,10 @@
     /// A start ends when the service time has not improved in this many rounds of responses.
     static constexpr std::uint32_t max_rounds_without_improvement = 8;
 
-    /// Begins or aborts a start if the condition of the upstream has changed accordingly.
+    /// Maximum time from the first flow to the end of a start. Bounds the effect where few responses are seen.
+    static constexpr core::milliseconds max_duration{5'000};
+
+    /// Begins or ends a start if the condition of the upstream has changed accordingly.
     void update(const upstream_condition& upstream, core::time_point now);
 
     /// Records that a new flow is offered to the upstream, which has `in_progress` requests. `latency_target` is that
--- a/libraries/ibisdyke/routing/tests/start_pace_test.cpp
+++ b/libraries/ibisdyke/routing/tests/start_pace_test.cpp
@@ -206,6 +206,44 @@
     CHECK(pace.take_events().back().outcome == start_outcome::settled);
 }
 
+// The limit must not stay where the agent sees no responses that it can measure.
+TEST_CASE("a start without responses expires")
+{
+    start_pace pace;
+    pace.update(ready_upstream(), start_time);
+    pace.update(ready_upstream(), start_time + 1h);
+    REQUIRE(pace.is_starting());
+    pace.record_new_flow(start_time + 1h);
+    pace.update(ready_upstream(), start_time + 1h + start_pace::max_duration - 1ms);
+    CHECK(pace.is_starting());
+    pace.update(ready_upstream(), start_time + 1h + start_pace::max_duration);
+    CHECK(pace.take_events().back().outcome == start_outcome::expired);
+}
+
+// On the network the FIN of a response in few packets may overtake its data. The pace of a start must not miss the
+// response: limits once stayed at their first value on a whole day of such flows.
+TEST_CASE("a response counts when its FIN arrives before its data")
+{
+    simulated_hosts hosts(1);
+    hosts.upstreams_return_packets = true;
+    const auto id = hosts.members.front().target.id;
+    hosts.admission[id] = {.slots = slots, .paces_starts = true};
+    hosts.update_agents();
+    for (std::uint32_t caller = 0; caller < 8; ++caller) {
+        const auto syn = simulated_hosts::packet(caller, packet_kind::syn);
+        REQUIRE(hosts.send(syn, hosts.table, search_phase::place).action == packet_action::place);
+        auto request = simulated_hosts::packet(caller, packet_kind::segment);
+        request.has_data = true;
+        hosts.send(request, hosts.table);
+        hosts.now += service_time;
+        routing::packet_info response;
+        response.flow = syn.flow;
+        response.kind = packet_kind::closing;
+        hosts.agents.at(id)->record_response(response, hosts.now);
+    }
+    CHECK_FALSE(hosts.agents.at(id)->start_limit().has_value());
+}
+
 TEST_CASE("the limit falls when responses slow down or fail")
 {
     start_pace pace;
