--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -14,6 +14,7 @@
 #include "ibisdyke/routing/recovery_probe.h"
 #include "ibisdyke/routing/start_pace.h"
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <vector>
@@ -85,6 +86,7 @@
     std::optional<packet_reason> latency_refusal(const flow_route& route, core::time_point now) const;
     void update_upstream(const agent_snapshot& agent, core::time_point now);
     void record_failure(core::time_point now);
+    void record_answer(const flow_key& flow, std::chrono::nanoseconds service_time, core::time_point now);
 
     pending_requests pending_;
     overload_monitor overload_;
