measure: Close the listeners of an instance before it is started again

`start` on an instance that still runs ended the run with "cannot listen ... already in use": 7 of 50 random schedules, in each of which a stopped agent was replaced. The proxy closed the listeners on its own thread while the main thread forked the new process, which inherited them until exec, so that the proxy could not listen again. The proxy now closes them first, and the message names the system's error.

--- a/utilities/measure/experiments/running_system.cpp
+++ b/utilities/measure/experiments/running_system.cpp
@@ -191,7 +191,9 @@
 
 void running_system::close_routes(const std::string& name)
 {
-    proxy_->post([name](auto& it) { it.close(name); });
+    // Waits until the listeners are closed. A process that is started before would inherit them until it calls exec,
+    // and the proxy could not listen on the same endpoints again.
+    proxy_->call([&](auto& it) { it.close(name); });
 }
 
 void running_system::change_links(const std::function<void(link_table&)>& change)
--- a/utilities/measure/proxy/connection_relay.cpp
+++ b/utilities/measure/proxy/connection_relay.cpp
@@ -77,7 +77,8 @@
     if (listener_.isListening())
         return;
     if (!listener_.listen(QHostAddress(path_.advertised_endpoint.address), path_.advertised_endpoint.port))
-        throw core::system_failure("proxy: cannot listen on " + to_string(path_.advertised_endpoint));
+        throw core::system_failure("proxy: cannot listen on " + to_string(path_.advertised_endpoint) + ": "
+            + listener_.errorString().toStdString());
 }
 
 void connection_relay::close()
