--- a/utilities/measure/experiments/replay.cpp
+++ b/utilities/measure/experiments/replay.cpp
@@ -243,6 +243,8 @@
             if (!observer_.all_have_applied(commands_.newest()))
                 it.misses.emplace_back("not all processes hold the newest configuration at the end");
         }
+        for (const auto& line : observer_.configuration().revert_descriptions())
+            add_detail(it, line);
         if (!times.empty())
             it.measured["config_p99_ms"] = percentile_99(times);
         it.measured["config_reverts"] =
--- a/utilities/measure/operators/config_tracker.cpp
+++ b/utilities/measure/operators/config_tracker.cpp
@@ -17,7 +17,7 @@
 {
     auto& last = latest_[process];
     if (last.run == run && applied < last.applied)
-        ++reverts_;
+        reverts_.push_back(process + " reverted from version " + to_string(last.applied) + " to " + to_string(applied));
     last = {run, applied};
 }
 
--- a/utilities/measure/operators/config_tracker.h
+++ b/utilities/measure/operators/config_tracker.h
@@ -28,7 +28,9 @@
     /// Returns the times of all changes in ascending order. A pending change counts with its time up to `now`.
     std::vector<std::int64_t> times_ms(core::time_point now) const;
 
-    std::uint64_t reverts() const { return reverts_; }
+    std::uint64_t reverts() const { return reverts_.size(); }
+    /// Returns a line for each revert, for messages.
+    const std::vector<std::string>& revert_descriptions() const { return reverts_; }
 
     /// Returns the live processes that have not applied all pending changes, for messages.
     std::vector<std::string> lagging_processes(const std::set<std::string>& live) const;
@@ -48,7 +50,7 @@
     std::map<std::string, observation> latest_;
     std::vector<accepted_change> pending_;
     std::vector<std::int64_t> completed_ms_;
-    std::uint64_t reverts_ = 0;
+    std::vector<std::string> reverts_;
 };
 
 /// Parses "TERM.INDEX". Throws core::invalid_input.
