--- a/benchmarks/dissemination_benchmark.cpp
+++ b/benchmarks/dissemination_benchmark.cpp
@@ -14,6 +14,7 @@
 #include "ibisdyke/transport/rpc_client.h"
 #include "ibisdyke/transport/rpc_router.h"
 #include "processor_time.h"
+#include "statistics.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -304,14 +305,6 @@
     run_until([] { return false; }, duration);
 }
 
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return -1;
-    std::sort(values.begin(), values.end());
-    return values.at(static_cast<std::size_t>(share * static_cast<double>(values.size() - 1)));
-}
-
 /// Measures the fan-out of changes of one host to `n` simulated subscribers.
 QJsonObject measure_fan_out(int n)
 {
@@ -363,8 +356,8 @@
     thread.quit();
     thread.wait();
     return {{"subscribers", n}, {"complete", complete},
-        {"accepted_to_applied_p50_ms", percentile(subscribers.latencies_ms(), 0.5)},
-        {"accepted_to_applied_p99_ms", percentile(subscribers.latencies_ms(), 0.99)},
+        {"accepted_to_applied_p50_ms", benchmarks::percentile(subscribers.latencies_ms(), 0.5)},
+        {"accepted_to_applied_p99_ms", benchmarks::percentile(subscribers.latencies_ms(), 0.99)},
         {"bytes_per_s_per_subscriber_at_40_changes_per_s", bytes / seconds / n},
         {"idle_bytes_per_s_per_subscriber", idle_bytes_per_s},
         {"server_cpu_us_per_change_per_subscriber", cpu_us / changes_per_run / n},
--- a/benchmarks/log_cost.cpp
+++ b/benchmarks/log_cost.cpp
@@ -9,6 +9,7 @@
 #include "ibisdyke/routing/wire/codec.h"
 #include "ibisdyke/testing/simulated_hosts.h"
 #include "processor_time.h"
+#include "statistics.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
--- a/benchmarks/packet_rate.cpp
+++ b/benchmarks/packet_rate.cpp
@@ -9,6 +9,7 @@
 #include "ibisdyke/routing/chain_router.h"
 #include "ibisdyke/transport/udp_socket.h"
 #include "processor_time.h"
+#include "statistics.h"
 
 #include <QCoreApplication>
 #include <QJsonDocument>
--- a/benchmarks/processor_time.h
+++ b/benchmarks/processor_time.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <algorithm>
 #include <chrono>
 #include <ctime>
-#include <vector>
 
 namespace ibisdyke::benchmarks {
 
@@ -16,11 +14,4 @@
     return std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec);
 }
 
-/// Returns the upper median. `values` must not be empty.
-inline double median(std::vector<double> values)
-{
-    std::sort(values.begin(), values.end());
-    return values[values.size() / 2];
-}
-
 } // namespace ibisdyke::benchmarks
--- a/benchmarks/routing_decision.cpp
+++ b/benchmarks/routing_decision.cpp
@@ -8,6 +8,7 @@
 #include "ibisdyke/frontends/packets/ip_packet_format.h"
 #include "ibisdyke/routing/chain_router.h"
 #include "processor_time.h"
+#include "statistics.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
