routing: Test a loop of redirect entries and every field of the header

"a packet visits a bounded number of agents" has no loop of redirect entries. The new test makes two agents name each other, shows that the packet would go back without the bits of `asked`, and checks that it is placed at once. The round trip of the header left recovery_left_ms, fallback_load, searched and searched_through at their defaults.

Run: routing_tests, 108 cases.

--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -23,10 +23,14 @@
     it.phase = search_phase::assign;
     it.sender = {0x0a000001, 7000};
     it.restarted = 0;
+    it.recovery_left_ms = 59'000;
     it.fallback = 2;
+    it.fallback_load = {true, 2500, 10'000};
     it.is_new = true;
     it.hops = 63;
     it.asked = 0xffffff;
+    it.searched = {core::service_id(7), core::service_id(1200)};
+    it.searched_through = core::service_id(600);
     return it;
 }
 
--- a/libraries/ibisdyke/routing/tests/flow_agent_test.cpp
+++ b/libraries/ibisdyke/routing/tests/flow_agent_test.cpp
@@ -247,6 +247,42 @@
     CHECK(end.visits <= routing::max_hops + 1);
 }
 
+// Redirect entries of two agents may name each other when the agent that took the flow has lost it in a restart.
+TEST_CASE("a packet does not circulate between two agents with redirect entries to each other")
+{
+    simulated_hosts hosts(3);
+    hosts.update_agents();
+    auto header = make_header(hosts, datagram(1));
+    header.phase = search_phase::place;
+    const auto first = header.chain[0].id;
+    const auto second = header.chain[1].id;
+    hosts.admission[first].accepts_new_flows = false;
+    const auto placed = hosts.forward_until_decided(datagram(1), header);
+    REQUIRE(placed.action == packet_action::place);
+    REQUIRE(placed.at == second);
+    hosts.restart(second);
+    hosts.admission[first].accepts_new_flows = true;
+    hosts.admission[second].accepts_new_flows = false;
+    std::swap(header.chain[0], header.chain[1]);
+    // The second agent refuses the flow and leaves an entry that names the first, whose entry still names the second.
+    const auto refused = hosts.agents.at(second)->decide(datagram(1), header, hosts.snapshot_of(second), hosts.now);
+    REQUIRE(refused.action == packet_action::forward);
+    CHECK(refused.next->chain[refused.next->position].id == first);
+    auto unmarked = *refused.next;
+    unmarked.asked = 0;
+    const auto circulating = hosts.agents.at(first)->decide(datagram(1), unmarked, hosts.snapshot_of(first), hosts.now);
+    REQUIRE(circulating.action == packet_action::forward);
+    CHECK(circulating.next->chain[circulating.next->position].id == second);
+    const auto end = hosts.forward_until_decided(datagram(1), *refused.next);
+    CHECK(end.action == packet_action::place);
+    CHECK(end.at == first);
+    CHECK(end.visits == 1);
+    // Later datagrams find the flow with either order of the chain.
+    CHECK(hosts.forward_until_decided(datagram(1), header).at == first);
+    std::swap(header.chain[0], header.chain[1]);
+    CHECK(hosts.forward_until_decided(datagram(1), header).at == first);
+}
+
 // A redirect entry must not lead to an upstream that is gone.
 TEST_CASE("a redirect entry to an unreachable member is removed")
 {
