tests: Make checks as strict as the titles of their tests

- The log is read with each bit flipped, not one bit of each byte.
- Submissions of usage are at least 2 s apart (50 ms less for the time between the reading of the clock and the submission).
- A membership change is submitted once while its outcome is outstanding, and an upstream that joins is recorded once.
- The membership codec is tested with control processes.
- Subscribers of a paused control process have 2,000 ms and not 2,300 ms.
- The tree of 1,400 balancers had 1,392.
- Records of watermarks: the bound of one more than the changes was the record that the join of the agents causes.
The join is now counted as a change and the bound is the number of changes.

--- a/libraries/ibisdyke/dissemination/tests/relay_assignment_test.cpp
+++ b/libraries/ibisdyke/dissemination/tests/relay_assignment_test.cpp
@@ -141,9 +141,14 @@
 TEST_CASE("1,400 balancers and 9,300 agents fit under one control process")
 {
     relay_tree it;
-    for (std::uint32_t i = 1; i <= 10'700; ++i)
-        it.add(i, i % 8 == 0 || i > 10'637);
+    std::uint32_t balancers = 0;
+    for (std::uint32_t i = 1; i <= 10'700; ++i) {
+        const bool is_balancer = i % 8 == 0 || i > 10'628;
+        it.add(i, is_balancer);
+        balancers += is_balancer ? 1 : 0;
+    }
     CHECK(it.size() == 10'700);
+    CHECK(balancers == 1'400);
     CHECK(it.largest() <= default_max_subscribers + 2);
     CHECK(it.depth() <= 5);
 }
--- a/libraries/ibisdyke/frontends/control/tests/fake_control_group.h
+++ b/libraries/ibisdyke/frontends/control/tests/fake_control_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisdyke/frontends/control/control_group.h"
+#include "ibisdyke/transport/clock.h"
 
 #include <QTimer>
 
@@ -11,7 +12,7 @@
 namespace ibisdyke::frontends {
 
 /// The control group as one control process sees it, on top of a log that the test holds in memory. Commands are
-/// committed in the next turn of the event loop.
+/// committed in the next turn of the event loop, unless a delay is set.
 class fake_control_group final : public control_group {
 public:
     /// The log that all control processes of a test share.
@@ -54,7 +55,9 @@
     void submit(const control_command& command, submit_callback done) override
     {
         ++submitted_;
-        QTimer::singleShot(0, [this, command, done = std::move(done)] { done(commit(command)); });
+        if (std::holds_alternative<accounting::usage_batch>(command))
+            usage_submitted_at_.push_back(transport::read_clock());
+        QTimer::singleShot(outcome_delay_, [this, command, done = std::move(done)] { done(commit(command)); });
     }
 
     /// Applies a state unless the process is partitioned.
@@ -73,6 +76,9 @@
     submit_status next_status_ = submit_status::committed;
     std::optional<core::endpoint> leader_;
     int submitted_ = 0;
+    std::vector<core::time_point> usage_submitted_at_;
+    /// The time from the submission of a command to its outcome.
+    core::milliseconds outcome_delay_{0};
 
 private:
     submit_result commit(const control_command& command)
--- a/libraries/ibisdyke/frontends/control/tests/file_log_storage_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/file_log_storage_test.cpp
@@ -131,11 +131,13 @@
     const auto original = read("log");
     constexpr std::size_t magic_bytes = 8;
     for (auto i = magic_bytes; i < original.size(); ++i) {
-        auto damaged = original;
-        damaged[i] = static_cast<char>(damaged[i] ^ 0x20);
-        write("log", damaged);
-        INFO("byte " << i << " of " << original.size());
-        CHECK_THROWS_WITH(load(), Catch::Contains("log is damaged at byte"));
+        for (int bit = 0; bit < 8; ++bit) {
+            auto damaged = original;
+            damaged[i] = static_cast<char>(damaged[i] ^ (1 << bit));
+            write("log", damaged);
+            INFO("bit " << bit << " of byte " << i << " of " << original.size());
+            CHECK_THROWS_WITH(load(), Catch::Contains("log is damaged at byte"));
+        }
     }
 }
 
--- a/libraries/ibisdyke/frontends/control/tests/heartbeat_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/heartbeat_test.cpp
@@ -267,16 +267,23 @@
     CHECK(second.leases->report()["senders"].toInt() == 0);
 }
 
-// A membership change must not be lost when the outcome of its proposal is unknown.
+// A membership change must not be lost when the outcome of its proposal is unknown, and must not be proposed twice
+// while the outcome is outstanding.
 TEST_CASE_METHOD(heartbeat_fixture, "a membership change with an unknown outcome is proposed again")
 {
     auto& leader = add_control();
     leader.group.next_status_ = submit_status::unknown;
+    leader.group.outcome_delay_ = core::milliseconds(700);
     const auto sender = start_sender(addresses());
+    REQUIRE(wait_for([&] { return leader.group.submitted_ == 1; }));
+    run_for(500);
+    CHECK(leader.group.submitted_ == 1);
+    leader.group.outcome_delay_ = core::milliseconds(0);
     REQUIRE(wait_for([&] { return leader.count("membership_changes_failed") >= 2; }));
     CHECK(log_.state.membership.upstreams.empty());
     leader.group.next_status_ = submit_status::committed;
     CHECK(wait_for([&] { return has_upstream_id(); }));
+    CHECK(log_.state.membership.upstreams.size() == 1);
 }
 
 // Usage must not be lost with a failed proposal, and recorded usage must not be submitted again.
@@ -298,6 +305,12 @@
     const auto reports = log_.usage.size();
     run_for(2500);
     CHECK(log_.usage.size() == reports);
+    // The collector's time is read up to some milliseconds before the submission.
+    constexpr core::milliseconds shortest_interval{2000 - 50};
+    const auto& times = leader.group.usage_submitted_at_;
+    REQUIRE(times.size() >= 2);
+    for (std::size_t i = 1; i < times.size(); ++i)
+        CHECK(times[i] - times[i - 1] >= shortest_interval);
 }
 
 TEST_CASE_METHOD(heartbeat_fixture, "a malformed heartbeat is refused")
--- a/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/subscription_test.cpp
@@ -225,7 +225,7 @@
     REQUIRE(wait_for([&] { return all_at({1, 100}); }));
     paused.pause();
     commit_profile(2);
-    CHECK(wait_for([&] { return all_at({1, 101}); }, 2300));
+    CHECK(wait_for([&] { return all_at({1, 101}); }, 2000));
     CHECK(all_from(controls_.front()->address()));
 }
 
--- a/libraries/ibisdyke/membership/tests/codec_test.cpp
+++ b/libraries/ibisdyke/membership/tests/codec_test.cpp
@@ -63,6 +63,8 @@
     change.forgotten = {core::upstream_id(9), core::upstream_id(10)};
     change.relays = {{"balancer", {1, 2}}};
     change.removed_relays = {"old"};
+    change.controls = {{core::control_id(1), {3, 4}}, {core::control_id(4), {5, 6}}};
+    change.removed_controls = {core::control_id(2), core::control_id(3)};
     CHECK(wire::decode_membership_change(wire::encode(change)) == change);
 
     membership_state state;
@@ -71,6 +73,7 @@
         upstream_state::gone, core::wall_time(core::milliseconds(1'700'000'000'000)),
         {{{1, 2}, core::version{1, 3}}, {{1, 4}, std::nullopt}}, {2, 5}, {1, 3}, true};
     state.relays = {{"balancer", {1, 2}}};
+    state.controls = {{core::control_id(1), {3, 4}}, {core::control_id(4), {5, 6}}};
     CHECK(wire::decode_membership_state(wire::encode(state)) == state);
 }
 
--- a/libraries/ibisdyke/membership/tests/lease_table_test.cpp
+++ b/libraries/ibisdyke/membership/tests/lease_table_test.cpp
@@ -403,8 +403,8 @@
 {
     add_agents(40);
     run(100s);
-    const auto records = record_count_;
-    int changes = 0;
+    // The first change is the join of the agents. Its record of watermarks is written after that of the first drain.
+    int changes = 1;
     for (int hour = 0; hour < 4; ++hour) {
         senders_["host-0"].draining = !senders_["host-0"].draining;
         ++changes;
@@ -416,8 +416,9 @@
             run(20s);
         }
     }
-    CHECK(record_count_ - records > changes);
-    CHECK(record_count_ - records <= 2 * changes + 1);
+    // Each change is a record of its own.
+    CHECK(record_count_ > changes);
+    CHECK(record_count_ <= 2 * changes);
 }
 
 // A late resend of a request must find the record of the upstream that served it, or the request would run again.
