membership: Name the batch numbers and the exact part of the history

joined_in and changed_in are the numbers of the first batch that must hold the whole heartbeat or the status: full_since_batch, status_since_batch. upstream::exact_since says what is exact: history_exact_since. Names in messages stay.

--- a/libraries/ibisdyke/frontends/discovery/routing_input.cpp
+++ b/libraries/ibisdyke/frontends/discovery/routing_input.cpp
@@ -47,7 +47,7 @@
     result.eligible = in && membership::is_eligible(it.state);
     result.reachable = state != configuration::domain_state::out && it.state != membership::upstream_state::gone;
     result.flow_watermark = it.flow_watermark;
-    result.exact_since = it.exact_since;
+    result.exact_since = it.history_exact_since;
     // A failure domain without recorded changes has no history and has always been in service.
     const bool always_in = !recorded || (in && domain->second.history.empty());
     result.history = always_in ? it.history : intersection(it.history, domain->second.history);
--- a/libraries/ibisdyke/membership/membership_change.cpp
+++ b/libraries/ibisdyke/membership/membership_change.cpp
@@ -23,10 +23,10 @@
     };
     history.erase(std::remove_if(history.begin(), history.end(), expired), history.end());
     // Merging the two oldest intervals keeps every version at which a flow of this upstream may have begun, but adds
-    // the versions of the gap between them. exact_since marks these, so that this upstream does not take the place of
-    // another upstream that got flows in the gap.
+    // the versions of the gap between them. history_exact_since marks these, so that this upstream does not take the
+    // place of another upstream that got flows in the gap.
     while (history.size() > max_history) {
-        it.exact_since = std::max(it.exact_since, history[1].from);
+        it.history_exact_since = std::max(it.history_exact_since, history[1].from);
         history[1].from = history[0].from;
         history.erase(history.begin());
     }
--- a/libraries/ibisdyke/membership/messages.h
+++ b/libraries/ibisdyke/membership/messages.h
@@ -81,7 +81,7 @@
     core::version flow_watermark{};
     /// The history is exact from this version on. Older intervals were merged to bound its length, so they may include
     /// versions at which the upstream was not eligible.
-    core::version exact_since{};
+    core::version history_exact_since{};
     /// Whether `agent` has replaced an earlier process of the agent.
     bool agent_replaced = false;
 
--- a/libraries/ibisdyke/membership/sender_table.cpp
+++ b/libraries/ibisdyke/membership/sender_table.cpp
@@ -55,10 +55,10 @@
 void sender_table::store_heartbeat(entry& known, const heartbeat& it, core::time_point now)
 {
     if (identity_of(known.last) != identity_of(it)) {
-        known.joined_in = next_number_;
+        known.full_since_batch = next_number_;
         is_urgent_ = true;
     } else if (!has_same_status(known.last, it) || !it.usage.empty()) {
-        known.changed_in = next_number_;
+        known.status_since_batch = next_number_;
     }
     // Keeps a usage report that the leader has not acknowledged until a newer report replaces it.
     const auto usage = it.usage.empty() ? known.last.usage : it.usage;
@@ -133,9 +133,9 @@
     result.echoed_timestamp = leader_timestamp_;
     result.sender_count = senders_.size();
     for (const auto& [sender, it] : senders_) {
-        if (it.joined_in > acknowledged_)
+        if (it.full_since_batch > acknowledged_)
             result.full_heartbeats.push_back(it.last);
-        else if (it.changed_in > acknowledged_)
+        else if (it.status_since_batch > acknowledged_)
             result.changed.push_back(status_of(it.last));
         if (now - it.received_at > limits_.max_fresh_age)
             result.stale.push_back({sender, std::chrono::ceil<core::milliseconds>(now - it.received_at)});
@@ -171,11 +171,11 @@
     acknowledged_ = number;
     std::erase_if(removed_, [&](const auto& removal) { return removal.second <= number; });
     for (auto& [sender, known] : senders_) {
-        if (known.joined_in > number)
+        if (known.full_since_batch > number)
             continue;
         known.is_confirmed = true;
         known.result = heartbeat_result::accepted;
-        if (known.changed_in <= number)
+        if (known.status_since_batch <= number)
             known.last.usage.clear();
     }
     for (const auto& refused : it.refused) {
@@ -196,7 +196,7 @@
     // The next batch is a full report, which replaces the leader's list, so removals need not be reported.
     removed_.clear();
     for (auto& [sender, it] : senders_) {
-        it.joined_in = next_number_;
+        it.full_since_batch = next_number_;
         it.is_confirmed = false;
     }
 }
--- a/libraries/ibisdyke/membership/sender_table.h
+++ b/libraries/ibisdyke/membership/sender_table.h
@@ -68,9 +68,9 @@
         heartbeat last;
         core::time_point received_at;
         /// The number of the first batch that must hold the whole heartbeat.
-        std::uint64_t joined_in = 0;
+        std::uint64_t full_since_batch = 0;
         /// The number of the first batch that must hold the current sender_status.
-        std::uint64_t changed_in = 0;
+        std::uint64_t status_since_batch = 0;
         /// Whether the leader has accepted a batch with the sender.
         bool is_confirmed = false;
         heartbeat_result result = heartbeat_result::accepted;
--- a/libraries/ibisdyke/membership/tests/membership_change_test.cpp
+++ b/libraries/ibisdyke/membership/tests/membership_change_test.cpp
@@ -130,9 +130,9 @@
     CHECK(first(state).history.size() <= 32);
     CHECK(first(state).history.front().from == core::version{1, 10});
     CHECK_FALSE(first(state).history.back().to.has_value());
-    // exact_since is the end of the newest gap between merged intervals.
-    CHECK(first(state).exact_since > first(state).history.front().from);
-    CHECK(first(state).exact_since < first(state).history.front().to);
+    // history_exact_since is the end of the newest gap between merged intervals.
+    CHECK(first(state).history_exact_since > first(state).history.front().from);
+    CHECK(first(state).history_exact_since < first(state).history.front().to);
 }
 
 // If each later record moved gone_at, the record would never be removed.
--- a/libraries/ibisdyke/membership/wire/codec.cpp
+++ b/libraries/ibisdyke/membership/wire/codec.cpp
@@ -179,8 +179,8 @@
         to_wire(it, *message.add_history());
     if (value.flow_watermark != core::version{})
         to_wire(value.flow_watermark, *message.mutable_flow_watermark());
-    if (value.exact_since != core::version{})
-        to_wire(value.exact_since, *message.mutable_exact_since());
+    if (value.history_exact_since != core::version{})
+        to_wire(value.history_exact_since, *message.mutable_exact_since());
 }
 
 upstream from_wire(const Upstream& message)
@@ -201,7 +201,7 @@
     for (const auto& it : message.history())
         result.history.push_back(from_wire(it));
     result.flow_watermark = from_wire(message.flow_watermark());
-    result.exact_since = from_wire(message.exact_since());
+    result.history_exact_since = from_wire(message.exact_since());
     return result;
 }
 
