--- a/libraries/ibisdyke/testing/event_loop.h
+++ b/libraries/ibisdyke/testing/event_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QElapsedTimer>
 #include <QEventLoop>
 #include <QTimer>
 
@@ -16,4 +17,16 @@
     loop.exec();
 }
 
+/// Runs the event loop of this thread until the condition holds or the limit has passed. Returns whether it holds.
+template <typename Condition>
+bool wait_for(Condition condition, std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds check_interval{5};
+    QElapsedTimer timer;
+    timer.start();
+    while (!condition() && timer.elapsed() < limit.count())
+        run_event_loop(check_interval);
+    return condition();
+}
+
 } // namespace ibisdyke::testing
--- a/libraries/ibisdyke/testing/request_cluster.h
+++ b/libraries/ibisdyke/testing/request_cluster.h
@@ -7,7 +7,6 @@
 #include "ibisdyke/testing/event_loop.h"
 
 #include <QCoreApplication>
-#include <QElapsedTimer>
 
 #include <functional>
 #include <memory>
@@ -177,11 +176,7 @@
     template <typename Condition>
     static bool wait_for(Condition condition, int limit_ms = 8000)
     {
-        QElapsedTimer timer;
-        timer.start();
-        while (!condition() && timer.elapsed() < limit_ms)
-            testing::run_event_loop(std::chrono::milliseconds(5));
-        return condition();
+        return testing::wait_for(condition, std::chrono::milliseconds(limit_ms));
     }
 
     static void run_for(int ms);
--- a/libraries/ibisdyke/transport/tests/rpc_test.cpp
+++ b/libraries/ibisdyke/transport/tests/rpc_test.cpp
@@ -5,7 +5,6 @@
 #include "ibisdyke/transport/rpc_router.h"
 
 #include <QCoreApplication>
-#include <QElapsedTimer>
 
 #include <catch2/catch.hpp>
 
@@ -20,11 +19,7 @@
     template <typename Condition>
     bool wait_for(Condition condition)
     {
-        QElapsedTimer timer;
-        timer.start();
-        while (!condition() && timer.elapsed() < 5000)
-            testing::run_event_loop(std::chrono::milliseconds(5));
-        return condition();
+        return testing::wait_for(condition, std::chrono::seconds(5));
     }
 
     int argc_ = 0;
