replication: Call the stored vote a vote

The latest term and the candidate voted for were a `vote` in its type and a `ballot` in its fields. The type is now term_and_vote and the fields `vote`. Names in messages and files stay. The tests of three members compute the third one in one place, and replicated_control_group_test uses testing::wait_for().

--- a/libraries/ibisdyke/frontends/control/file_log_storage.cpp
+++ b/libraries/ibisdyke/frontends/control/file_log_storage.cpp
@@ -244,7 +244,7 @@
         state.base = std::make_shared<const replication::snapshot>(
             replication::wire::decode_snapshot(read_single_record(path(snapshot_name), *bytes)));
     read_log(state);
-    ballot_ = state.ballot;
+    vote_ = state.vote;
     return state;
 }
 
@@ -252,7 +252,7 @@
 /// entries that were read are not yet known to be durable.
 void file_log_storage::make_durable(const replication::stored_state& state)
 {
-    write_log({ballot_, nullptr, state.entries, state.commit_index});
+    write_log({vote_, nullptr, state.entries, state.commit_index});
 }
 
 void file_log_storage::read_log(replication::stored_state& state) const
@@ -278,8 +278,8 @@
             break;
         }
         const auto batch = replication::wire::decode_write_batch(it.payload);
-        if (batch.ballot)
-            state.ballot = *batch.ballot;
+        if (batch.vote)
+            state.vote = *batch.vote;
         state.commit_index = std::max(state.commit_index, batch.commit_index);
         for (const auto& e : batch.entries) {
             while (!state.entries.empty() && state.entries.back().at.index >= e.at.index)
@@ -298,13 +298,13 @@
     // Reset only when the whole batch is durable, or when the disk is full, which leaves the folder consistent.
     failed_ = true;
     initial_state_.reset();
-    if (batch.ballot)
-        ballot_ = *batch.ballot;
+    if (batch.vote)
+        vote_ = *batch.vote;
     try {
         repair_after_full_disk();
         if (batch.base) {
             replace_file(snapshot_name, frame(replication::wire::encode(*batch.base)));
-            write_log({ballot_, nullptr, batch.entries, batch.commit_index});
+            write_log({vote_, nullptr, batch.entries, batch.commit_index});
         } else {
             append(batch);
         }
--- a/libraries/ibisdyke/frontends/control/file_log_storage.h
+++ b/libraries/ibisdyke/frontends/control/file_log_storage.h
@@ -59,7 +59,7 @@
     std::filesystem::path folder_;
     std::unique_ptr<file_operations> files_;
     core::incarnation incarnation_;
-    replication::vote ballot_;
+    replication::term_and_vote vote_;
     /// The state that create() has read; moved out by the first load().
     std::optional<replication::stored_state> initial_state_;
     int lock_file_ = -1;
--- a/libraries/ibisdyke/frontends/control/log_writer.cpp
+++ b/libraries/ibisdyke/frontends/control/log_writer.cpp
@@ -28,8 +28,8 @@
     if (pending_batches_.empty() || pending_batches_.back().base || writes.base)
         pending_batches_.emplace_back();
     auto& batch = pending_batches_.back();
-    if (writes.ballot)
-        batch.ballot = writes.ballot;
+    if (writes.vote)
+        batch.vote = writes.vote;
     if (writes.base)
         batch.base = writes.base;
     batch.entries.insert(batch.entries.end(), writes.entries.begin(), writes.entries.end());
--- a/libraries/ibisdyke/frontends/control/tests/file_log_storage_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/file_log_storage_test.cpp
@@ -43,7 +43,7 @@
     {
         const auto storage = file_log_storage::create(folder());
         storage->load();
-        storage->persist({vote{1, core::control_id(2)}, nullptr, {make_entry(1, "first")}});
+        storage->persist({term_and_vote{1, core::control_id(2)}, nullptr, {make_entry(1, "first")}});
         storage->persist({std::nullopt, nullptr, {make_entry(2, "second")}});
         storage->persist({std::nullopt, nullptr, {make_entry(3, "third")}});
     }
@@ -68,7 +68,7 @@
 {
     fill();
     const auto state = load();
-    CHECK(state.ballot == vote{1, core::control_id(2)});
+    CHECK(state.vote == term_and_vote{1, core::control_id(2)});
     CHECK(state.entries == std::vector<entry>{make_entry(1, "first"), make_entry(2, "second"), make_entry(3, "third")});
 }
 
@@ -167,7 +167,7 @@
     }
     const auto state = load();
     CHECK(*state.base == *base);
-    CHECK(state.ballot == vote{1, core::control_id(2)});
+    CHECK(state.vote == term_and_vote{1, core::control_id(2)});
     CHECK(state.entries == std::vector<entry>{make_entry(3, "third"), make_entry(4, "fourth")});
 }
 
--- a/libraries/ibisdyke/frontends/control/tests/full_disk_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/full_disk_test.cpp
@@ -228,13 +228,13 @@
 {
     auto storage = open_storage();
     storage->load();
-    storage->persist({vote{1, core::control_id(2)}, nullptr, {make_entry(1)}});
+    storage->persist({term_and_vote{1, core::control_id(2)}, nullptr, {make_entry(1)}});
     storage_disk().refused = {call::write, call::ftruncate, call::unlink};
     storage_disk().refusals = 3;
     CHECK(persist(*storage, {std::nullopt, nullptr, {make_entry(2)}}) > 0);
     storage->persist({std::nullopt, nullptr, {make_entry(3)}});
     const auto state = load_after_power_failure();
-    CHECK(state.ballot == vote{1, core::control_id(2)});
+    CHECK(state.vote == term_and_vote{1, core::control_id(2)});
     CHECK(state.entries == std::vector<entry>{make_entry(1), make_entry(2), make_entry(3)});
 }
 
--- a/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
+++ b/libraries/ibisdyke/frontends/control/tests/replicated_control_group_test.cpp
@@ -6,7 +6,6 @@
 #include "ibisdyke/transport/http2_server.h"
 
 #include <QCoreApplication>
-#include <QElapsedTimer>
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
@@ -40,8 +39,8 @@
             throw core::system_failure("sync failed");
         if (is_full)
             throw core::storage_full("disk full");
-        if (batch.ballot)
-            state_.ballot = *batch.ballot;
+        if (batch.vote)
+            state_.vote = *batch.vote;
         if (batch.base) {
             state_.base = batch.base;
             state_.entries.clear();
@@ -112,11 +111,7 @@
     template <typename Condition>
     bool wait_for(Condition condition)
     {
-        QElapsedTimer timer;
-        timer.start();
-        while (!condition() && timer.elapsed() < 5000)
-            testing::run_event_loop(std::chrono::milliseconds(5));
-        return condition();
+        return testing::wait_for(condition, std::chrono::seconds(5));
     }
 
     running_member* find_leader()
--- a/libraries/ibisdyke/replication/messages.h
+++ b/libraries/ibisdyke/replication/messages.h
@@ -63,11 +63,11 @@
 };
 
 /// The latest term that a member has seen, and the candidate that it voted for in this term.
-struct vote {
+struct term_and_vote {
     std::uint64_t term = 0;
     std::optional<core::control_id> candidate;
 
-    friend bool operator==(const vote&, const vote&) = default;
+    friend bool operator==(const term_and_vote&, const term_and_vote&) = default;
 };
 
 /// The state of the state machine after the entry at `last`. Replaces the log up to and including this entry.
@@ -195,7 +195,7 @@
 /// The writes of an output. They must be durable before the messages of the output are sent and its entries are
 /// applied.
 struct write_batch {
-    std::optional<vote> ballot;
+    std::optional<term_and_vote> vote;
     /// If set, replaces the whole stored log by this snapshot followed by `entries`.
     snapshot_pointer base;
     /// Each entry replaces the stored entries at its index and above.
@@ -204,14 +204,14 @@
     /// restarted member serve its state before it has heard from a leader.
     std::uint64_t commit_index = 0;
 
-    bool empty() const { return !ballot && !base && entries.empty() && commit_index == 0; }
+    bool empty() const { return !vote && !base && entries.empty() && commit_index == 0; }
 
     friend bool operator==(const write_batch&, const write_batch&) = default;
 };
 
 /// The state that a member has stored durably.
 struct stored_state {
-    vote ballot;
+    term_and_vote vote;
     /// Null before the first snapshot.
     snapshot_pointer base;
     /// The log after the snapshot.
--- a/libraries/ibisdyke/replication/raft_node.cpp
+++ b/libraries/ibisdyke/replication/raft_node.cpp
@@ -9,7 +9,7 @@
 raft_node::raft_node(raft_options options, const stored_state& stored, std::uint64_t seed, core::time_point now)
     : options_(std::move(options))
     , random_(seed)
-    , ballot_(stored.ballot)
+    , vote_(stored.vote)
     , log_(stored)
     , commit_index_(std::clamp(stored.commit_index, log_.start().index, log_.last().index))
     , campaign_(random_())
@@ -33,7 +33,7 @@
     output result;
     if (role_ == raft_role::leader) {
         if (!has_active_quorum(configuration(), now)) {
-            become_follower(ballot_.term, std::nullopt, now, result);
+            become_follower(vote_.term, std::nullopt, now, result);
             return result;
         }
         if (now >= heartbeat_due_)
@@ -67,8 +67,8 @@
 void raft_node::become_follower(
     std::uint64_t term, std::optional<core::control_id> leader, core::time_point now, output& result)
 {
-    if (term > ballot_.term) {
-        ballot_ = {term, std::nullopt};
+    if (term > vote_.term) {
+        vote_ = {term, std::nullopt};
         save_ballot(result);
     }
     role_ = raft_role::follower;
@@ -80,7 +80,7 @@
 
 void raft_node::save_ballot(output& result) const
 {
-    result.writes.ballot = ballot_;
+    result.writes.vote = vote_;
 }
 
 void raft_node::reset_election_timer(core::time_point now)
--- a/libraries/ibisdyke/replication/raft_node.h
+++ b/libraries/ibisdyke/replication/raft_node.h
@@ -114,7 +114,7 @@
 
     /// Whether an entry of the current term is committed. The commit index of a leader then covers every entry that
     /// earlier leaders have committed.
-    bool has_committed_in_term() const { return log_.term_at(commit_index_) == ballot_.term; }
+    bool has_committed_in_term() const { return log_.term_at(commit_index_) == vote_.term; }
 
     /// The time since the leader last heard from a member. 0 for this member, and the maximum for a process that the
     /// leader does not know as a member.
@@ -125,7 +125,7 @@
 
     raft_role role() const { return role_; }
     std::optional<core::control_id> leader() const { return leader_; }
-    std::uint64_t term() const { return ballot_.term; }
+    std::uint64_t term() const { return vote_.term; }
     std::uint64_t commit_index() const { return commit_index_; }
     const raft_log& log() const { return log_; }
     const group_configuration& configuration() const { return log_.configuration(); }
@@ -237,7 +237,7 @@
     std::mt19937_64 random_;
     /// Until this time, a member that restarted with a log uses shorter election timeouts.
     core::time_point restart_window_end_{};
-    vote ballot_;
+    term_and_vote vote_;
     raft_log log_;
     std::uint64_t commit_index_ = 0;
     raft_role role_ = raft_role::follower;
--- a/libraries/ibisdyke/replication/raft_node_election.cpp
+++ b/libraries/ibisdyke/replication/raft_node_election.cpp
@@ -32,10 +32,10 @@
         answering_folders_.clear();
     reset_election_timer(now);
     if (!is_pre_vote(kind)) {
-        ballot_ = {ballot_.term + 1, options_.self};
+        vote_ = {vote_.term + 1, options_.self};
         save_ballot(result);
     }
-    const auto term = is_pre_vote(kind) ? ballot_.term + 1 : ballot_.term;
+    const auto term = is_pre_vote(kind) ? vote_.term + 1 : vote_.term;
     const auto members = is_bootstrap(kind) ? options_.initial_members : other_members();
     for (const auto& it : members) {
         if (it.id != options_.self)
@@ -114,7 +114,7 @@
             follower.folder_incarnation = folder->second;
     }
     first_round_after_loss_ = round_ + 1;
-    append({{ballot_.term, next}, entry_kind::leader_start, {}, {}}, result);
+    append({{vote_.term, next}, entry_kind::leader_start, {}, {}}, result);
     broadcast_append(now, result);
     advance_commit(result);
 }
@@ -135,7 +135,7 @@
         if (it.id != options_.self)
             progress_[it.id] = create_progress(it, 1, now);
     }
-    append({{ballot_.term, 1}, entry_kind::configuration, {}, std::move(group)}, result);
+    append({{vote_.term, 1}, entry_kind::configuration, {}, std::move(group)}, result);
     broadcast_append(now, result);
     advance_commit(result);
 }
@@ -152,7 +152,7 @@
 bool raft_node::may_grant_vote(const vote_request& request, const message& received, core::time_point now) const
 {
     const bool log_is_up_to_date = request.last >= required_candidate_position();
-    const bool has_no_other_vote = !ballot_.candidate || *ballot_.candidate == received.from;
+    const bool has_no_other_vote = !vote_.candidate || *vote_.candidate == received.from;
     const bool has_live_leader =
         leads(now) || (has_heard_leader_ && now - last_leader_contact_ < options_.min_election_timeout);
     switch (request.kind) {
@@ -161,9 +161,9 @@
     case vote_kind::bootstrap:
         // A term is granted only once, even to the same candidate: after losing its data folder, the candidate could
         // request votes in the same term again.
-        return log_.empty() && request.term > ballot_.term;
+        return log_.empty() && request.term > vote_.term;
     case vote_kind::pre_vote:
-        return request.term > ballot_.term && log_is_up_to_date && !has_live_leader;
+        return request.term > vote_.term && log_is_up_to_date && !has_live_leader;
     case vote_kind::election:
         if (has_live_leader)
             return false;
@@ -171,7 +171,7 @@
     case vote_kind::transfer:
         break;
     }
-    return log_is_up_to_date && (request.term > ballot_.term || (request.term == ballot_.term && has_no_other_vote));
+    return log_is_up_to_date && (request.term > vote_.term || (request.term == vote_.term && has_no_other_vote));
 }
 
 void raft_node::handle(const message& received, const vote_request& request, core::time_point now, output& result)
@@ -184,16 +184,16 @@
     // depose that leader.
     const bool adopts_term =
         request.kind == vote_kind::transfer || (request.kind == vote_kind::election && !has_live_leader);
-    if (request.term > ballot_.term && (adopts_term || (granted && !is_pre_vote(request.kind))))
+    if (request.term > vote_.term && (adopts_term || (granted && !is_pre_vote(request.kind))))
         become_follower(request.term, std::nullopt, now, result);
     if (granted && !is_pre_vote(request.kind)) {
-        ballot_.candidate = received.from;
+        vote_.candidate = received.from;
         save_ballot(result);
         reset_election_timer(now);
     }
     send(received.from,
-        vote_answer{request.kind, granted ? request.term : ballot_.term, granted, received.folder_incarnation,
-            request.campaign},
+        vote_answer{
+            request.kind, granted ? request.term : vote_.term, granted, received.folder_incarnation, request.campaign},
         result);
 }
 
@@ -202,13 +202,13 @@
     if (answer.candidate_folder_incarnation != options_.folder_incarnation)
         return;
     record_answering_folder(received, answer);
-    if (!answer.granted && answer.term > ballot_.term && answer.kind != vote_kind::bootstrap_pre_vote) {
+    if (!answer.granted && answer.term > vote_.term && answer.kind != vote_kind::bootstrap_pre_vote) {
         become_follower(answer.term, std::nullopt, now, result);
         return;
     }
     if (role_ != raft_role::candidate || answer.kind != campaign_kind_)
         return;
-    const auto expected = is_pre_vote(answer.kind) ? ballot_.term + 1 : ballot_.term;
+    const auto expected = is_pre_vote(answer.kind) ? vote_.term + 1 : vote_.term;
     if (answer.granted && answer.term == expected)
         granted_votes_[received.from] = {received.folder_incarnation, received.admin_endpoint};
     if (has_won(answer.kind))
@@ -217,7 +217,7 @@
 
 void raft_node::handle(const message& received, const timeout_now& request, core::time_point now, output& result)
 {
-    if (request.term == ballot_.term && leader_ == received.from && may_campaign(now))
+    if (request.term == vote_.term && leader_ == received.from && may_campaign(now))
         start_campaign(vote_kind::transfer, now, result);
 }
 
@@ -245,7 +245,7 @@
     if (successor == members.end() || !counts_toward_quorum(*successor))
         return;
     timeout_now_round_ = round_;
-    send(to, timeout_now{ballot_.term}, result);
+    send(to, timeout_now{vote_.term}, result);
 }
 
 bool raft_node::may_campaign(core::time_point now) const
--- a/libraries/ibisdyke/replication/raft_node_replication.cpp
+++ b/libraries/ibisdyke/replication/raft_node_replication.cpp
@@ -17,13 +17,13 @@
 
 bool raft_node::accept_leader(const message& received, std::uint64_t term, core::time_point now, output& result)
 {
-    if (term < ballot_.term) {
+    if (term < vote_.term) {
         // The answer carries the current term but no round, because the round of the request belongs to an older term.
         // If the sender leads the current term by now, that round would confirm its reads wrongly.
-        send(received.from, append_answer{ballot_.term, false, 0, 0}, result);
+        send(received.from, append_answer{vote_.term, false, 0, 0}, result);
         return false;
     }
-    if (term == ballot_.term && role_ == raft_role::leader)
+    if (term == vote_.term && role_ == raft_role::leader)
         return false;
     become_follower(term, received.from, now, result);
     last_leader_contact_ = now;
@@ -34,12 +34,12 @@
 raft_node::progress* raft_node::progress_of_sender(
     const message& received, std::uint64_t term, core::time_point now, output& result)
 {
-    if (term > ballot_.term) {
+    if (term > vote_.term) {
         become_follower(term, std::nullopt, now, result);
         return nullptr;
     }
     const auto found = progress_.find(received.from);
-    if (role_ != raft_role::leader || term != ballot_.term || found == progress_.end())
+    if (role_ != raft_role::leader || term != vote_.term || found == progress_.end())
         return nullptr;
     return &found->second;
 }
@@ -56,7 +56,7 @@
         while (retry_index > commit_index_ && retry_index > log_.start().index && term != request.previous.term
             && log_.term_at(retry_index) == term)
             --retry_index;
-        send(received.from, append_answer{ballot_.term, false, std::max(retry_index, commit_index_), request.round},
+        send(received.from, append_answer{vote_.term, false, std::max(retry_index, commit_index_), request.round},
             result);
         return;
     }
@@ -68,7 +68,7 @@
         matched = added.at.index;
     }
     commit_to(std::min(request.commit_index, matched), result);
-    send(received.from, append_answer{ballot_.term, true, matched, request.round}, result);
+    send(received.from, append_answer{vote_.term, true, matched, request.round}, result);
 }
 
 void raft_node::handle(const message& received, const append_answer& answer, core::time_point now, output& result)
@@ -113,7 +113,7 @@
     if (!accept_leader(received, request.term, now, result))
         return;
     if (request.last.index <= commit_index_) {
-        send(received.from, append_answer{ballot_.term, true, commit_index_, request.round}, result);
+        send(received.from, append_answer{vote_.term, true, commit_index_, request.round}, result);
         return;
     }
     if (incoming_snapshot_last_ != request.last) {
@@ -123,7 +123,7 @@
     if (request.offset == incoming_snapshot_bytes_.size())
         incoming_snapshot_bytes_ += request.bytes;
     if (incoming_snapshot_bytes_.size() < request.total_bytes) {
-        send(received.from, snapshot_answer{ballot_.term, request.last, incoming_snapshot_bytes_.size(), request.round},
+        send(received.from, snapshot_answer{vote_.term, request.last, incoming_snapshot_bytes_.size(), request.round},
             result);
         return;
     }
@@ -135,7 +135,7 @@
     result.received_snapshot = base;
     result.writes.base = base;
     result.writes.entries = log_.slice(request.last.index + 1, std::numeric_limits<std::size_t>::max());
-    send(received.from, append_answer{ballot_.term, true, commit_index_, request.round}, result);
+    send(received.from, append_answer{vote_.term, true, commit_index_, request.round}, result);
 }
 
 void raft_node::handle(const message& received, const snapshot_answer& answer, core::time_point now, output& result)
@@ -162,7 +162,7 @@
     if (!accepts_commands(now))
         return proposed;
     proposed.status = proposal_status::appended;
-    proposed.at = {ballot_.term, log_.last().index + 1};
+    proposed.at = {vote_.term, log_.last().index + 1};
     append({proposed.at, kind, std::move(command), std::move(members)}, proposed.result);
     broadcast_append(now, proposed.result);
     advance_commit(proposed.result);
@@ -178,7 +178,7 @@
 {
     auto& follower = progress_[to];
     append_request request;
-    request.term = ballot_.term;
+    request.term = vote_.term;
     request.round = round_;
     if (follower.next_index <= log_.start().index) {
         const bool is_awaiting_answer = follower.snapshot_last == log_.base()->last
@@ -208,7 +208,7 @@
     follower.snapshot_sent = now;
     const auto offset = std::min<std::uint64_t>(follower.snapshot_offset, base.state.size());
     send(to,
-        snapshot_request{ballot_.term, base.last, base.configuration, offset, base.state.size(),
+        snapshot_request{vote_.term, base.last, base.configuration, offset, base.state.size(),
             base.state.substr(offset, options_.snapshot_chunk_bytes), round_},
         result);
 }
@@ -224,7 +224,7 @@
 void raft_node::advance_commit(output& result)
 {
     const auto index = quorum_value(&progress::match_index, log_.last().index);
-    if (index > commit_index_ && log_.term_at(index) == ballot_.term)
+    if (index > commit_index_ && log_.term_at(index) == vote_.term)
         commit_to(index, result);
 }
 
--- a/libraries/ibisdyke/replication/recovery.cpp
+++ b/libraries/ibisdyke/replication/recovery.cpp
@@ -21,8 +21,8 @@
     auto survivor = *own;
     survivor.folder_incarnation = folder_incarnation;
     survivor.role = member_role::voter;
-    const auto term = std::max(stored.ballot.term, log.last().term) + 1;
-    return {vote{term, std::nullopt}, nullptr,
+    const auto term = std::max(stored.vote.term, log.last().term) + 1;
+    return {term_and_vote{term, std::nullopt}, nullptr,
         {{{term, log.last().index + 1}, entry_kind::configuration, {}, {{survivor}}}}};
 }
 
--- a/libraries/ibisdyke/replication/tests/raft_lost_folder_test.cpp
+++ b/libraries/ibisdyke/replication/tests/raft_lost_folder_test.cpp
@@ -32,7 +32,7 @@
 raft_node create_node(core::time_point now)
 {
     stored_state stored;
-    stored.ballot = {1, std::nullopt};
+    stored.vote = {1, std::nullopt};
     stored.entries = {{{1, 1}, entry_kind::configuration, {},
         group_configuration{{create_voter(1), create_voter(2), create_voter(3), create_voter(4)}}}};
     stored.commit_index = 1;
@@ -161,7 +161,7 @@
     const group_configuration before{{create_voter(1), create_voter(2), create_voter(3), create_voter(4)}};
     const group_configuration after{{create_voter(2), create_voter(3), create_voter(4)}};
     stored_state stored;
-    stored.ballot = {1, std::nullopt};
+    stored.vote = {1, std::nullopt};
     stored.entries = {{{1, 1}, entry_kind::configuration, {}, before}, {{1, 2}, entry_kind::configuration, {}, after},
         {{1, 3}, entry_kind::command, "uncommitted", {}}};
     raft_options options;
--- a/libraries/ibisdyke/replication/tests/raft_node_test.cpp
+++ b/libraries/ibisdyke/replication/tests/raft_node_test.cpp
@@ -37,6 +37,12 @@
         return core::control_id(id == core::control_id(1) ? 2 : 1);
     }
 
+    /// Returns the member of the group of three that is neither of these.
+    static core::control_id third_besides(core::control_id one, core::control_id other)
+    {
+        return core::control_id(1 + 2 + 3 - one.value() - other.value());
+    }
+
     static simulated_group create_group()
     {
         simulated_group result(3, 0, 42);
@@ -109,7 +115,7 @@
     const auto leader = wait_for_leader();
     run(20);
     const auto wiped = other_than(leader);
-    const core::control_id third(6 - leader.value() - wiped.value());
+    const auto third = third_besides(leader, wiped);
     group_.crash(third);
     run(5);
     REQUIRE(group_.propose(leader, "held by two"));
@@ -155,7 +161,7 @@
     const auto leader = wait_for_leader();
     run(20);
     group_.isolate(other_than(leader));
-    group_.isolate(core::control_id(6 - leader.value() - other_than(leader).value()));
+    group_.isolate(third_besides(leader, other_than(leader)));
     group_.transfer_leadership(leader);
     run(2 * steps_per_second);
     CHECK_FALSE(group_.propose(leader, "refused"));
@@ -182,7 +188,7 @@
     const auto leader = wait_for_leader();
     run(20);
     const auto other = other_than(leader);
-    const core::control_id third(6 - leader.value() - other.value());
+    const auto third = third_besides(leader, other);
     group_.crash(third);
     run(40);
     auto copy = group_.node(leader);
@@ -198,7 +204,7 @@
     run(20);
     auto node = group_.node(leader);
     const auto wiped = other_than(leader);
-    const core::control_id third(6 - leader.value() - wiped.value());
+    const auto third = third_besides(leader, wiped);
     auto now = group_.now();
     const auto disk_of = [&](core::control_id id) {
         for (const auto& it : node.configuration().members) {
@@ -240,7 +246,7 @@
         return member{core::control_id(id), core::incarnation(10 + id), member_role::voter};
     };
     stored_state stored;
-    stored.ballot = {1, std::nullopt};
+    stored.vote = {1, std::nullopt};
     stored.entries = {
         {{1, 1}, entry_kind::configuration, {}, group_configuration{{voter(1), voter(2), voter(3), voter(4)}}},
         {{1, 2}, entry_kind::configuration, {}, group_configuration{{voter(1), voter(3), voter(4)}}}};
--- a/libraries/ibisdyke/replication/tests/simulated_group.cpp
+++ b/libraries/ibisdyke/replication/tests/simulated_group.cpp
@@ -268,8 +268,8 @@
         const auto [known, added] = appended_entries_.emplace(e.at, e);
         require(added || known->second == e, "log matching: two entries at " + to_string(e.at));
     }
-    if (batch.ballot)
-        it.stored.ballot = *batch.ballot;
+    if (batch.vote)
+        it.stored.vote = *batch.vote;
     if (batch.base) {
         it.stored.base = batch.base;
         it.stored.entries.clear();
--- a/libraries/ibisdyke/replication/wire/codec.cpp
+++ b/libraries/ibisdyke/replication/wire/codec.cpp
@@ -232,9 +232,9 @@
 std::string encode(const write_batch& it)
 {
     WriteBatch out;
-    if (it.ballot) {
-        out.mutable_ballot()->set_term(it.ballot->term);
-        out.mutable_ballot()->set_candidate(it.ballot->candidate.value_or(core::control_id{}).value());
+    if (it.vote) {
+        out.mutable_ballot()->set_term(it.vote->term);
+        out.mutable_ballot()->set_candidate(it.vote->candidate.value_or(core::control_id{}).value());
     }
     for (const auto& e : it.entries)
         fill(*out.add_entries(), e);
@@ -247,9 +247,9 @@
     const auto in = parse<WriteBatch>(bytes);
     write_batch result;
     if (in.has_ballot()) {
-        result.ballot = vote{in.ballot().term(), std::nullopt};
+        result.vote = term_and_vote{in.ballot().term(), std::nullopt};
         if (in.ballot().candidate() != 0)
-            result.ballot->candidate = core::control_id(in.ballot().candidate());
+            result.vote->candidate = core::control_id(in.ballot().candidate());
     }
     for (const auto& it : in.entries())
         result.entries.push_back(read(it));
--- a/libraries/ibisdyke/replication/wire/codec.h
+++ b/libraries/ibisdyke/replication/wire/codec.h
@@ -19,7 +19,7 @@
 std::string encode(const snapshot& it);
 snapshot decode_snapshot(std::string_view bytes);
 
-/// Encodes the ballot, the entries and the commit index. The snapshot of a batch is encoded separately.
+/// Encodes the vote, the entries and the commit index. The snapshot of a batch is encoded separately.
 std::string encode(const write_batch& it);
 write_batch decode_write_batch(std::string_view bytes);
 
--- a/services/control/control_process.cpp
+++ b/services/control/control_process.cpp
@@ -133,7 +133,7 @@
         throw core::invalid_input("--recover-alone", confirmed, "a term and an index, such as 3.120");
     const auto batch = replication::recover_alone(storage.load(), self, storage.incarnation(), *version);
     storage.persist(batch);
-    observability::write_log(observability::log_level::warning, "recovered_alone", {{"term", batch.ballot->term}});
+    observability::write_log(observability::log_level::warning, "recovered_alone", {{"term", batch.vote->term}});
 }
 
 /// Opens the data folder. Retries while its disk is full.
