admission, accounting: Call the owner of work a neighbour

`consumer` was a second word for the neighbour that sends requests, of type core::neighbour. Names in messages stay.

Both slices' codecs had a parse() of their own and use that of core now.

--- a/libraries/ibisdyke/accounting/usage.h
+++ b/libraries/ibisdyke/accounting/usage.h
@@ -11,7 +11,7 @@
 
 /// Identifies a set of usage counters: one neighbour, service and hour.
 struct usage_key {
-    core::neighbour consumer;
+    core::neighbour neighbour;
     std::string service;
     /// Hours since the Unix epoch.
     std::uint64_t hour = 0;
--- a/libraries/ibisdyke/accounting/usage_counter.cpp
+++ b/libraries/ibisdyke/accounting/usage_counter.cpp
@@ -10,10 +10,10 @@
 }
 
 void usage_counter::add(
-    const core::neighbour& consumer, const std::string& service, const usage_counters& used, core::wall_time now)
+    const core::neighbour& neighbour, const std::string& service, const usage_counters& used, core::wall_time now)
 {
     latest_hour_ = std::max(latest_hour_, hour_of(now));
-    const usage_key key{consumer, service, latest_hour_};
+    const usage_key key{neighbour, service, latest_hour_};
     const auto [it, created] = usage_.try_emplace(key);
     if (created)
         prune(key.hour);
--- a/libraries/ibisdyke/accounting/usage_counter.h
+++ b/libraries/ibisdyke/accounting/usage_counter.h
@@ -24,7 +24,7 @@
     /// Adds `used` to the usage of the service by the neighbour in the current hour. If the clock was set back, the
     /// usage is added to the latest hour seen so far, because a report of an hour makes all earlier hours final.
     void add(
-        const core::neighbour& consumer, const std::string& service, const usage_counters& used, core::wall_time now);
+        const core::neighbour& neighbour, const std::string& service, const usage_counters& used, core::wall_time now);
 
     /// Returns the counters of all keys that are still reported.
     usage_report report() const { return {source_, usage_}; }
--- a/libraries/ibisdyke/accounting/wire/codec.cpp
+++ b/libraries/ibisdyke/accounting/wire/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisdyke/accounting/wire/accounting.pb.h"
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/core/wire/message.h"
 
 #include <cstdint>
 #include <map>
@@ -12,19 +13,10 @@
 
 namespace {
 
-template <typename Message>
-Message parse(std::string_view bytes, const char* name)
-{
-    Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        throw core::malformed_message(std::string("cannot decode a ") + name);
-    return message;
-}
-
 template <typename Message>
 void fill_key(Message& message, const usage_key& key)
 {
-    message.set_consumer(key.consumer.value());
+    message.set_consumer(key.neighbour.value());
     message.set_service(key.service);
     message.set_hour(key.hour);
 }
@@ -110,7 +102,7 @@
 
 usage_report decode_usage_report(std::string_view bytes)
 {
-    const auto message = parse<wire::UsageReport>(bytes, "usage report");
+    const auto message = core::wire::parse<wire::UsageReport>(bytes);
     usage_report result;
     result.source = core::incarnation(message.source());
     for (const auto& entry : message.entries())
@@ -120,7 +112,7 @@
 
 usage_batch decode_usage_batch(std::string_view bytes)
 {
-    const auto message = parse<wire::UsageBatch>(bytes, "usage batch");
+    const auto message = core::wire::parse<wire::UsageBatch>(bytes);
     std::vector<usage_key> keys;
     keys.reserve(static_cast<std::size_t>(message.keys_size()));
     for (const auto& it : message.keys())
@@ -141,7 +133,7 @@
 
 usage_state decode_usage_state(std::string_view bytes)
 {
-    const auto message = parse<wire::UsageState>(bytes, "usage state");
+    const auto message = core::wire::parse<wire::UsageState>(bytes);
     usage_state result;
     result.closed_before = message.closed_before();
     result.daily_before = message.daily_before();
--- a/libraries/ibisdyke/admission/fair_queue.cpp
+++ b/libraries/ibisdyke/admission/fair_queue.cpp
@@ -24,9 +24,9 @@
     }
 }
 
-bool fair_queue::take_token(const core::neighbour& consumer, core::time_point now)
+bool fair_queue::take_token(const core::neighbour& neighbour, core::time_point now)
 {
-    auto& it = find_or_create(consumer);
+    auto& it = find_or_create(neighbour);
     if (it.policy.requests_per_second <= 0)
         return true;
     // The bucket holds the burst and one more token, because a limit without burst must still admit single requests.
@@ -46,7 +46,7 @@
 
 std::optional<work_id> fair_queue::push(const work& it, core::time_point now)
 {
-    auto& owner = find_or_create(it.consumer);
+    auto& owner = find_or_create(it.neighbour);
     if (owner.waiting.empty() && owner.running == 0)
         limit_idle_credit(owner);
     owner.waiting.push_back({it, now, std::min(now + age_limit_, it.deadline)});
@@ -110,9 +110,9 @@
     return false;
 }
 
-void fair_queue::record_slot_time(const core::neighbour& consumer, std::chrono::nanoseconds used)
+void fair_queue::record_slot_time(const core::neighbour& neighbour, std::chrono::nanoseconds used)
 {
-    auto& it = find_or_create(consumer);
+    auto& it = find_or_create(neighbour);
     const auto used_ms = std::chrono::duration<double, std::milli>(used).count();
     it.weighted_usage_ms += (used_ms - it.mean_slot_time_ms) / it.policy.weight;
     it.mean_slot_time_ms += slot_time_smoothing * (used_ms - it.mean_slot_time_ms);
@@ -130,11 +130,11 @@
     return result;
 }
 
-fair_queue::neighbour_state& fair_queue::find_or_create(const core::neighbour& consumer)
+fair_queue::neighbour_state& fair_queue::find_or_create(const core::neighbour& neighbour)
 {
-    const auto [it, created] = neighbours_.try_emplace(consumer);
+    const auto [it, created] = neighbours_.try_emplace(neighbour);
     if (created) {
-        const auto policy = policies_.find(consumer);
+        const auto policy = policies_.find(neighbour);
         if (policy != policies_.end())
             it->second.policy = policy->second;
     }
--- a/libraries/ibisdyke/admission/fair_queue.h
+++ b/libraries/ibisdyke/admission/fair_queue.h
@@ -18,7 +18,7 @@
 
     /// Takes a token from the token bucket of the neighbour's rate limit. Returns false when the request exceeds limit
     /// and burst.
-    bool take_token(const core::neighbour& consumer, core::time_point now);
+    bool take_token(const core::neighbour& neighbour, core::time_point now);
 
     /// Adds a request. When the queue is full, removes and returns the oldest request of the neighbour with the most
     /// waiting requests relative to its weight.
@@ -34,7 +34,7 @@
 
     /// Records the end of a request that pop() has returned. Replaces the expected slot time charged by pop() with the
     /// slot time that the request has used.
-    void record_slot_time(const core::neighbour& consumer, std::chrono::nanoseconds used);
+    void record_slot_time(const core::neighbour& neighbour, std::chrono::nanoseconds used);
 
     std::uint32_t size() const { return size_; }
 
@@ -61,7 +61,7 @@
         std::optional<core::time_point> refilled_at;
     };
 
-    neighbour_state& find_or_create(const core::neighbour& consumer);
+    neighbour_state& find_or_create(const core::neighbour& neighbour);
     void limit_idle_credit(neighbour_state& idle) const;
     std::optional<work_id> drop_from_largest_backlog();
 
--- a/libraries/ibisdyke/admission/messages.h
+++ b/libraries/ibisdyke/admission/messages.h
@@ -51,7 +51,7 @@
 /// A request that asks for a slot.
 struct work {
     work_id id = 0;
-    core::neighbour consumer;
+    core::neighbour neighbour;
     /// The request is shed when it has not started by this time.
     core::time_point deadline;
 
--- a/libraries/ibisdyke/admission/share_admission.cpp
+++ b/libraries/ibisdyke/admission/share_admission.cpp
@@ -28,7 +28,7 @@
 
 admission_decision share_admission::offer(const work& it, core::time_point now)
 {
-    if (it.deadline <= now || !queue_.take_token(it.consumer, now))
+    if (it.deadline <= now || !queue_.take_token(it.neighbour, now))
         return {{}, {it.id}};
     // A request passes through the queue even when a slot is free, so that the queue charges every started request.
     // Free slots are filled before the request is added: otherwise a full queue could shed a request that can start.
@@ -54,7 +54,7 @@
     if (it == running_.end())
         return {};
     limit_.on_finish(outcome, static_cast<std::uint32_t>(running_.size()), now);
-    queue_.record_slot_time(it->second.consumer, now - it->second.started_at);
+    queue_.record_slot_time(it->second.neighbour, now - it->second.started_at);
     running_.erase(it);
     return advance(now);
 }
@@ -73,7 +73,7 @@
         const auto next = queue_.pop(now);
         if (!next)
             break;
-        running_.emplace(next->id, running_work{next->consumer, now});
+        running_.emplace(next->id, running_work{next->neighbour, now});
         result.start.push_back(next->id);
     }
     return result;
--- a/libraries/ibisdyke/admission/share_admission.h
+++ b/libraries/ibisdyke/admission/share_admission.h
@@ -31,7 +31,7 @@
 
 private:
     struct running_work {
-        core::neighbour consumer;
+        core::neighbour neighbour;
         core::time_point started_at;
     };
 
--- a/libraries/ibisdyke/admission/tests/share_admission_test.cpp
+++ b/libraries/ibisdyke/admission/tests/share_admission_test.cpp
@@ -25,9 +25,9 @@
     return it;
 }
 
-admission::work create_work(admission::work_id id, const core::neighbour& consumer, core::time_point now)
+admission::work create_work(admission::work_id id, const core::neighbour& neighbour, core::time_point now)
 {
-    return {id, consumer, now + 10s};
+    return {id, neighbour, now + 10s};
 }
 
 bool contains(const std::vector<admission::work_id>& ids, admission::work_id id)
--- a/libraries/ibisdyke/frontends/administration/admin_api.cpp
+++ b/libraries/ibisdyke/frontends/administration/admin_api.cpp
@@ -357,7 +357,7 @@
     auto totals = accounting::totals(group_.usage());
     // Senders without the administer role see only their own usage.
     if (it->owner().assigned_role < role::administer)
-        std::erase_if(totals, [&](const auto& entry) { return entry.first.consumer != it->owner().owner; });
+        std::erase_if(totals, [&](const auto& entry) { return entry.first.neighbour != it->owner().owner; });
     if (format == "csv")
         it->answer(usage_csv(group_.usage(), totals), "text/csv");
     else
--- a/libraries/ibisdyke/frontends/administration/usage_export.cpp
+++ b/libraries/ibisdyke/frontends/administration/usage_export.cpp
@@ -12,7 +12,7 @@
 {
     QByteArray result("neighbour,service,hour,flows,packets,bytes,requests,slot_milliseconds,span_hours\n");
     for (const auto& [key, it] : totals) {
-        result += QByteArray::fromStdString(key.consumer.value() + "," + key.service + "," + std::to_string(key.hour)
+        result += QByteArray::fromStdString(key.neighbour.value() + "," + key.service + "," + std::to_string(key.hour)
             + "," + std::to_string(it.flows) + "," + std::to_string(it.packets) + "," + std::to_string(it.bytes) + ","
             + std::to_string(it.requests) + "," + std::to_string(it.slot_milliseconds) + ","
             + std::to_string(span_hours(state, key.hour)) + "\n");
@@ -25,7 +25,7 @@
 {
     QJsonArray result;
     for (const auto& [key, it] : totals)
-        result.append(QJsonObject{{"neighbour", QString::fromStdString(key.consumer.value())},
+        result.append(QJsonObject{{"neighbour", QString::fromStdString(key.neighbour.value())},
             {"service", QString::fromStdString(key.service)}, {"hour", static_cast<qint64>(key.hour)},
             {"flows", static_cast<qint64>(it.flows)}, {"packets", static_cast<qint64>(it.packets)},
             {"bytes", static_cast<qint64>(it.bytes)}, {"requests", static_cast<qint64>(it.requests)},
--- a/libraries/ibisdyke/frontends/requests/gateway_request.cpp
+++ b/libraries/ibisdyke/frontends/requests/gateway_request.cpp
@@ -205,7 +205,7 @@
     add(header_name::attempt, id);
     add(header_name::incarnation, std::to_string(target.agent.value()));
     add(header_name::service, std::to_string(request_.service.value()));
-    add(header_name::neighbour, request_.consumer.value());
+    add(header_name::neighbour, request_.neighbour.value());
     return result;
 }
 
--- a/libraries/ibisdyke/frontends/requests/gateway_request.h
+++ b/libraries/ibisdyke/frontends/requests/gateway_request.h
@@ -28,7 +28,7 @@
     std::string path;
     std::string service_name;
     core::service_id service;
-    core::neighbour consumer;
+    core::neighbour neighbour;
     std::string key;
     bool key_generated = false;
     std::optional<core::wall_time> first_sent;
--- a/libraries/ibisdyke/frontends/requests/request_gateway.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_gateway.cpp
@@ -35,7 +35,7 @@
     std::string reason;
 };
 
-std::optional<core::neighbour> find_consumer(
+std::optional<core::neighbour> find_neighbour(
     const dissemination::system_state& state, const transport::header_list& headers)
 {
     const auto credentials = transport::find_header(headers, "authorization").value_or("");
@@ -153,10 +153,10 @@
     request.path = transport::find_header(headers, ":path").value_or("");
     if (request.method.empty() || request.path.empty())
         return reject(stream, "400", "a request needs a method and a path");
-    const auto consumer = find_consumer(*state, headers);
-    if (!consumer)
+    const auto neighbour = find_neighbour(*state, headers);
+    if (!neighbour)
         return reject(stream, "401", "the bearer token is missing or unknown");
-    request.consumer = *consumer;
+    request.neighbour = *neighbour;
     const auto authority = transport::find_header(headers, ":authority").value_or("");
     request.service_name = authority.substr(0, authority.find(':'));
     const auto* const service = find_service(request.service_name);
--- a/libraries/ibisdyke/frontends/requests/request_server.cpp
+++ b/libraries/ibisdyke/frontends/requests/request_server.cpp
@@ -206,7 +206,7 @@
 {
     offered_requests_.emplace(request->work_id(), request);
     apply_admission(
-        admission_->offer({request->work_id(), request->consumer(), request->deadline()}, transport::read_clock()));
+        admission_->offer({request->work_id(), request->neighbour(), request->deadline()}, transport::read_clock()));
 }
 
 void request_server::apply_admission(const admission::admission_decision& decision)
--- a/libraries/ibisdyke/frontends/requests/server_request.h
+++ b/libraries/ibisdyke/frontends/requests/server_request.h
@@ -71,7 +71,7 @@
 
     void abort();
 
-    const core::neighbour& consumer() const { return request_.key.owner; }
+    const core::neighbour& neighbour() const { return request_.key.owner; }
     admission::work_id work_id() const { return work_id_; }
     core::time_point deadline() const { return deadline_; }
 
--- a/libraries/ibisdyke/frontends/requests/tests/at_most_once_test.cpp
+++ b/libraries/ibisdyke/frontends/requests/tests/at_most_once_test.cpp
@@ -455,6 +455,6 @@
     const auto report = cluster.agents_[0]->usage_->report();
     std::map<std::string, std::uint64_t> requests;
     for (const auto& [key, counters] : report.usage)
-        requests[key.consumer.value()] += counters.requests;
+        requests[key.neighbour.value()] += counters.requests;
     CHECK(requests == std::map<std::string, std::uint64_t>{{"riechwerk", 1}, {"moto-salama", 2}});
 }
--- a/libraries/ibisdyke/frontends/requests/usage_meter.cpp
+++ b/libraries/ibisdyke/frontends/requests/usage_meter.cpp
@@ -6,11 +6,11 @@
 namespace ibisdyke::frontends {
 
 void usage_meter::add(
-    const core::neighbour& consumer, const std::string& service, const accounting::usage_counters& used)
+    const core::neighbour& neighbour, const std::string& service, const accounting::usage_counters& used)
 {
     const auto now = transport::read_wall_clock();
     const std::scoped_lock lock(mutex_);
-    counter_.add(consumer, service, used, now);
+    counter_.add(neighbour, service, used, now);
 }
 
 std::string usage_meter::take_report(core::time_point now)
--- a/libraries/ibisdyke/frontends/requests/usage_meter.h
+++ b/libraries/ibisdyke/frontends/requests/usage_meter.h
@@ -16,7 +16,7 @@
     {
     }
 
-    void add(const core::neighbour& consumer, const std::string& service, const accounting::usage_counters& used);
+    void add(const core::neighbour& neighbour, const std::string& service, const accounting::usage_counters& used);
 
     /// An unchanged report is repeated at this interval, because a heartbeat can be lost and a leader that fails can
     /// lose reports that it received.
--- a/libraries/ibisdyke/requests/wire/codec.cpp
+++ b/libraries/ibisdyke/requests/wire/codec.cpp
@@ -1,21 +1,13 @@
 #include "ibisdyke/requests/wire/codec.h"
 
 #include "ibisdyke/core/error.h"
+#include "ibisdyke/core/wire/message.h"
 #include "ibisdyke/requests/wire/requests.pb.h"
 
 namespace ibisdyke::requests {
 
 namespace {
 
-template <typename Message>
-Message parse(std::string_view bytes, const char* name)
-{
-    Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        throw core::malformed_message(std::string("cannot decode a ") + name);
-    return message;
-}
-
 wire::LookupStatus to_wire(lookup_status it)
 {
     switch (it) {
@@ -98,7 +90,7 @@
 
 lookup_query decode_lookup_query(std::string_view bytes)
 {
-    const auto message = parse<wire::LookupQuery>(bytes, "lookup query");
+    const auto message = core::wire::parse<wire::LookupQuery>(bytes);
     lookup_query result;
     result.key = {core::neighbour(message.key().owner()), message.key().key()};
     result.service = core::service_id(message.service());
@@ -113,7 +105,7 @@
 
 lookup_answer decode_lookup_answer(std::string_view bytes)
 {
-    const auto message = parse<wire::LookupAnswer>(bytes, "lookup answer");
+    const auto message = core::wire::parse<wire::LookupAnswer>(bytes);
     lookup_answer result;
     result.status = from_wire(message.status());
     result.peer = read(message.peer());
