--- a/libraries/ibisdyke/routing/chain_ages.cpp
+++ b/libraries/ibisdyke/routing/chain_ages.cpp
@@ -1,5 +1,7 @@
 #include "ibisdyke/routing/chain_ages.h"
 
+#include "ibisdyke/routing/service_cursor.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <utility>
@@ -24,23 +26,18 @@
     core::time_point now)
 {
     const auto result = std::make_shared<chain_ages>();
-    std::size_t previous_index = 0;
+    service_cursor previous_services(previous_table.get());
     for (const auto& it : table.services()) {
-        const auto& id = it->service().id;
-        while (previous_table && previous_index < previous_table->services().size()
-            && previous_table->services()[previous_index]->service().id < id)
-            ++previous_index;
-        const bool existed_before = previous_table && previous_index < previous_table->services().size()
-            && previous_table->services()[previous_index]->service().id == id;
-        if (existed_before && previous_table->services()[previous_index] == it) {
-            result->services_.push_back(previous->services_[previous_index]);
+        const auto previous_index = previous_services.find(it->service().id);
+        if (previous_index && previous_table->services()[*previous_index] == it) {
+            result->services_.push_back(previous->services_[*previous_index]);
             continue;
         }
         auto ages = std::make_shared<service_ages>();
         ages->fill(now);
-        for (std::uint32_t bucket = 0; existed_before && bucket < buckets_per_service; ++bucket) {
-            if (same_upstreams(it->chain_of(bucket), previous_table->services()[previous_index]->chain_of(bucket)))
-                (*ages)[bucket] = (*previous->services_[previous_index])[bucket];
+        for (std::uint32_t bucket = 0; previous_index && bucket < buckets_per_service; ++bucket) {
+            if (same_upstreams(it->chain_of(bucket), previous_table->services()[*previous_index]->chain_of(bucket)))
+                (*ages)[bucket] = (*previous->services_[*previous_index])[bucket];
         }
         result->services_.push_back(std::move(ages));
     }
--- a/libraries/ibisdyke/routing/wire/encoded_chains.cpp
+++ b/libraries/ibisdyke/routing/wire/encoded_chains.cpp
@@ -1,5 +1,6 @@
 #include "ibisdyke/routing/wire/encoded_chains.h"
 
+#include "ibisdyke/routing/service_cursor.h"
 #include "ibisdyke/routing/wire/codec.h"
 
 #include <utility>
@@ -10,15 +11,12 @@
     const std::shared_ptr<const encoded_chains>& previous, const std::shared_ptr<const routing_table>& previous_table)
 {
     const auto result = std::make_shared<encoded_chains>();
-    std::size_t previous_index = 0;
+    service_cursor previous_services(previous_table.get());
     for (const auto& it : table.services()) {
         const auto& id = it->service().id;
-        while (previous_table && previous_index < previous_table->services().size()
-            && previous_table->services()[previous_index]->service().id < id)
-            ++previous_index;
-        if (previous_table && previous_index < previous_table->services().size()
-            && previous_table->services()[previous_index] == it) {
-            result->services_.push_back(previous->services_[previous_index]);
+        const auto previous_index = previous_services.find(id);
+        if (previous_index && previous_table->services()[*previous_index] == it) {
+            result->services_.push_back(previous->services_[*previous_index]);
             continue;
         }
         auto headers = std::make_shared<service_headers>();
