routing: Show that two copies of a first datagram can begin two flows

Their first datagram and its retransmission waited behind an agent whose packet thread stalled for 2.5 s, and were then searched at the same time: the second passed each agent before the first was assigned, another flow changed which candidate was the least loaded, and each copy was assigned to another agent (b-2 and b-0, 0.2 ms apart in the logs). The test replays this order of decisions.

--- a/libraries/ibisdyke/routing/tests/flow_agent_test.cpp
+++ b/libraries/ibisdyke/routing/tests/flow_agent_test.cpp
@@ -283,6 +283,53 @@
     CHECK(hosts.forward_until_decided(datagram(1), header).at == first);
 }
 
+// Found by the random schedule with seed 111: the first datagram of a flow and its retransmission waited behind an
+// agent that stalled, and were then searched at the same time. Each was assigned to another candidate, and the caller
+// got a reset.
+TEST_CASE("two copies of a first datagram that are searched at the same time begin one flow")
+{
+    simulated_hosts hosts(3);
+    hosts.update_agents();
+    const auto& chain = chain_of(hosts, datagram(1)).members;
+    // All candidates have more flows than the mean, so that the packets are assigned to the least loaded one.
+    hosts.mean_open_flows = 1000;
+    std::uint32_t next_caller = 1000;
+    const auto add_flow = [&](const core::upstream_id& id) {
+        while (chain_of(hosts, datagram(next_caller)).members[0].id != id)
+            ++next_caller;
+        REQUIRE(hosts.send(datagram(next_caller++), hosts.table).at == id);
+    };
+    for (const auto& it : chain) {
+        for (int i = 0; i < 20; ++i)
+            add_flow(it.id);
+    }
+    for (int i = 0; i < 5; ++i)
+        add_flow(chain[2].id);
+    hosts.mean_open_flows = 1;
+    const auto step = [&](const routing::packet_header& header) {
+        const auto id = header.chain[header.position].id;
+        return hosts.agents.at(id)->decide(datagram(1), header, hosts.snapshot_of(id), hosts.now);
+    };
+    auto first = make_header(hosts, datagram(1));
+    first.phase = search_phase::place;
+    auto second = first;
+    while (first.phase == search_phase::place) {
+        const auto decision = step(first);
+        REQUIRE(decision.action == packet_action::forward);
+        first = *decision.next;
+    }
+    REQUIRE(first.chain[first.position].id == chain[0].id);
+    // Another flow begins at the first candidate, so that the second copy finds the other one less loaded.
+    hosts.mean_open_flows = 1000;
+    add_flow(chain[0].id);
+    hosts.mean_open_flows = 1;
+    second = step(second).next.value();
+    CHECK(step(first).action == packet_action::place);
+    const auto end = hosts.forward_until_decided(datagram(1), second);
+    CHECK(end.at == chain[0].id);
+    CHECK(end.action == packet_action::deliver);
+}
+
 // A redirect entry must not lead to an upstream that is gone.
 TEST_CASE("a redirect entry to an unreachable member is removed")
 {
