--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -23,7 +23,9 @@
     it.phase = search_phase::assign;
     it.sender = {0x0a000001, 7000};
     it.restarted = 0;
+    it.recovery_left_ms = 59'000;
     it.fallback = 2;
+    it.fallback_load = {true, 2500, 10'000};
     it.is_new = true;
     it.hops = 63;
     it.asked = 0xffffff;
@@ -33,6 +35,8 @@
         core::service_id(~0ULL), {core::upstream_id(~0ULL), {0xffffffff, 65535}}, {true, 0xffffffff, 0xffffffff}};
     it.awaits_retransmission = true;
     it.unanswering = core::upstream_id(~0ULL);
+    it.searched = {core::service_id(7), core::service_id(1200)};
+    it.searched_through = core::service_id(600);
     return it;
 }
 
