--- a/libraries/ibisdyke/routing/tests/target_overflow_test.cpp
+++ b/libraries/ibisdyke/routing/tests/target_overflow_test.cpp
@@ -45,8 +45,13 @@
     void set_weights(std::uint32_t weight_of_large, std::uint32_t weight_of_small)
     {
         ++version_.index;
-        table = routing::routing_table::create(version_, services, nullptr,
-            {{{route_address, {{large, weight_of_large}, {small, weight_of_small}}, {}, 100ms}}, {}});
+        routing::flow_route route{
+            route_address, {{large, weight_of_large}, {small, weight_of_small}}, {}, /*latency_target=*/100ms};
+        if (is_small_former) {
+            route.targets.pop_back();
+            route.former_targets = {small};
+        }
+        table = routing::routing_table::create(version_, services, nullptr, {{route}, {}});
         router_.set_table(routing::forwarding_table::create(table, nullptr, now));
     }
 
@@ -154,6 +159,8 @@
     std::map<core::upstream_id, routing::flow_agent> agents;
     core::time_point now{100s};
     bool are_tables_current = true;
+    /// Whether the small service is only a former target of the route. Applies with the next call of set_weights().
+    bool is_small_former = false;
     std::set<core::service_id> draining;
     std::set<core::service_id> out_of_service;
     std::set<core::upstream_id> crashed;
@@ -236,10 +243,12 @@
     split_route it(3, 3);
     const auto caller = it.caller_of(split_route::large);
     it.load(split_route::large, 12);
-    const auto reason = GENERATE(values<std::string>({"weight 0", "unconfirmed table", "draining", "domain out"}));
+    const auto reason =
+        GENERATE(values<std::string>({"weight 0", "former target", "unconfirmed table", "draining", "domain out"}));
     CAPTURE(reason);
     const bool may_offer = reason == "draining" || reason == "domain out";
-    if (reason == "weight 0")
+    it.is_small_former = reason == "former target";
+    if (reason == "weight 0" || it.is_small_former)
         it.set_weights(1, 0);
     it.are_tables_current = reason != "unconfirmed table";
     if (may_offer)
