routing: Search large services to the end

Cause: a packet header lists at most 24 upstreams, and extend_search() added none to a full header. Ruled out: the limits on visited agents and on extended searches (not reached in the test). Change: once all upstreams of a full header were asked, the next ones in search order (those that may hold flows of the bucket first) replace them, and the header counts how many have left it, so every search ends. Datagrams keep their candidates.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using detail::add_own_chain;
+using detail::begin_next_members;
 using detail::begin_placement;
 using detail::dropped;
 using detail::earliest_flow_version;
@@ -303,11 +304,15 @@
     if (packet.kind == packet_kind::datagram && !agent.members->chain_of(bucket).truncated)
         return false;
     const auto missing = members_missing_from(bucket, header, *agent.members);
-    // FIXME: members beyond max_header_members are not asked.
-    const auto room = max_header_members - std::min(max_header_members, header.chain.size());
-    const auto n = std::min(room, missing.size());
-    if (n == 0 || !search_extensions_.take(now))
+    if (missing.empty() || !search_extensions_.take(now))
         return false;
+    if (header.chain.size() >= max_header_members) {
+        // The candidates at the front of the chain must stay for a datagram, which may begin a flow.
+        if (packet.kind == packet_kind::datagram)
+            return false;
+        begin_next_members(bucket, header, *agent.members);
+    }
+    const auto n = std::min(max_header_members - header.chain.size(), missing.size());
     for (std::size_t i = 0; i < n; ++i)
         header.chain.push_back({missing[i].id, missing[i].packet_endpoint});
     return true;
--- a/libraries/ibisdyke/routing/flow_search.cpp
+++ b/libraries/ibisdyke/routing/flow_search.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <utility>
 
 namespace ibisdyke::routing::detail {
 
@@ -28,6 +30,30 @@
     return it != chain.end() && was_asked(header, static_cast<std::uint32_t>(it - chain.begin()));
 }
 
+bool is_in_chain(const packet_header& header, const core::upstream_id& id)
+{
+    return std::any_of(header.chain.begin(), header.chain.end(), [&id](const auto& it) { return it.id == id; });
+}
+
+/// Returns how many members at the front of a list in search order were asked and have left the header.
+std::size_t asked_before(const packet_header& header, const std::vector<chain_member>& order)
+{
+    return std::min<std::size_t>(header.search_offset, order.size());
+}
+
+/// Returns the members that may hold flows of the bucket in the order of the chain, then all other reachable ones by
+/// rank. Agents with the same table search in the same order.
+std::vector<chain_member> search_order(std::uint32_t bucket, const service_chains& members)
+{
+    auto result = members.holders(bucket);
+    std::vector<core::upstream_id> used;
+    for (const auto& it : result)
+        used.push_back(it.id);
+    const auto others = members.other_members(bucket, used);
+    result.insert(result.end(), others.begin(), others.end());
+    return result;
+}
+
 /// Whether all members that may hold the flow were asked without success.
 bool all_holders_asked(const packet_info& packet, const packet_header& header, const agent_snapshot& agent)
 {
@@ -35,8 +61,8 @@
         return false;
     const auto bucket = bucket_of_flow(packet.flow);
     const auto all_asked = [&header](const std::vector<chain_member>& members) {
-        return std::all_of(
-            members.begin(), members.end(), [&header](const auto& it) { return member_was_asked(header, it.id); });
+        const auto first = members.begin() + static_cast<std::ptrdiff_t>(asked_before(header, members));
+        return std::all_of(first, members.end(), [&header](const auto& it) { return member_was_asked(header, it.id); });
     };
     const auto& known = agent.members->chain_of(bucket);
     return all_asked(known.members) && (!known.truncated || all_asked(agent.members->holders(bucket)));
@@ -84,6 +110,7 @@
     header.position = 0;
     header.phase = search_phase::find;
     header.asked = 0;
+    header.search_offset = 0;
     header.restarted.reset();
     header.recovery_left_ms = 0;
     header.fallback.reset();
@@ -222,18 +249,32 @@
 std::vector<chain_member> members_missing_from(
     std::uint32_t bucket, const packet_header& header, const service_chains& members)
 {
-    std::vector<core::upstream_id> used;
-    for (const auto& it : header.chain)
-        used.push_back(it.id);
-    auto result = members.other_members(bucket, used);
-    if (!members.chain_of(bucket).truncated)
-        return result;
-    const auto holders = members.holders(bucket);
-    std::stable_partition(result.begin(), result.end(),
-        [&holders](const auto& it) { return std::find(holders.begin(), holders.end(), it) != holders.end(); });
+    auto result = search_order(bucket, members);
+    result.erase(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(asked_before(header, result)));
+    std::erase_if(result, [&header](const auto& it) { return is_in_chain(header, it.id); });
     return result;
 }
 
+void begin_next_members(std::uint32_t bucket, packet_header& header, const service_chains& members)
+{
+    const auto order = search_order(bucket, members);
+    auto offset = asked_before(header, order);
+    while (offset < order.size() && is_in_chain(header, order[offset].id))
+        ++offset;
+    std::vector<header_member> kept{header.chain[header.position]};
+    if (header.restarted && *header.restarted != header.position)
+        kept.push_back(header.chain[*header.restarted]);
+    if (header.restarted)
+        header.restarted = static_cast<std::uint32_t>(kept.size() - 1);
+    header.asked = (1U << kept.size()) - 1;
+    header.chain = std::move(kept);
+    header.position = 0;
+    header.candidates = 0;
+    header.fallback.reset();
+    header.search_offset = static_cast<std::uint32_t>(offset);
+    header.hops = 0;
+}
+
 bool begin_placement(packet_header& header)
 {
     if (header.candidates == 0 || header.candidates > header.chain.size())
--- a/libraries/ibisdyke/routing/flow_search.h
+++ b/libraries/ibisdyke/routing/flow_search.h
@@ -73,11 +73,15 @@
 bool is_search_complete(
     const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
 
-/// Returns the reachable members that the header lacks. If the chain was truncated, members that may hold flows of the
-/// bucket come first.
+/// Returns the reachable members that the header lacks and that were not asked before, in search order: the members
+/// that may hold flows of the bucket come first, then all others by rank.
 std::vector<chain_member> members_missing_from(
     std::uint32_t bucket, const packet_header& header, const service_chains& members);
 
+/// Replaces the members of a full chain, all of which were asked, so that the next ones in search order can be added.
+/// Keeps the member at the current position, and the one that may adopt the flow.
+void begin_next_members(std::uint32_t bucket, packet_header& header, const service_chains& members);
+
 /// Prepares the header to place a new flow, starting at the first candidate. Returns false if there is no candidate.
 bool begin_placement(packet_header& header);
 
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -93,6 +93,9 @@
     std::uint32_t hops = 0;
     /// Whether a search has found no member that knows the flow. Redirect entries for the flow are then out of date.
     bool is_new = false;
+    /// Number of members at the front of the service's search order that were asked and are no longer in `chain`.
+    /// Greater than 0 only in the search of a service that has more members than a header lists.
+    std::uint32_t search_offset = 0;
     /// The services of the flow's route that were searched first, without success.
     std::vector<core::service_id> searched;
     /// Once `searched` is full, the services with ids up to this one have been searched as well; otherwise 0.
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -29,6 +29,7 @@
     it.is_new = true;
     it.hops = 63;
     it.asked = 0xffffff;
+    it.search_offset = 0xffffffff;
     for (std::uint64_t i = 0; i < max_offered_services; ++i)
         it.offered.emplace_back(~i);
     it.queueing_candidate = target_fallback{
--- a/libraries/ibisdyke/routing/tests/service_search_test.cpp
+++ b/libraries/ibisdyke/routing/tests/service_search_test.cpp
@@ -41,6 +41,21 @@
         table_ = routing::routing_table::create({1, 10}, services_, nullptr, {{route}, {}});
     }
 
+    /// Lets each upstream take new flows for one version only, the last one at present, so that all may hold flows of
+    /// each bucket.
+    void replace_upstreams_one_by_one()
+    {
+        auto& members = services_.front().members;
+        for (std::uint64_t n = 0; n < members.size(); ++n) {
+            members[n].eligible = n + 1 == members.size();
+            members[n].history = {{{1, n + 1}, std::nullopt}};
+            if (!members[n].eligible)
+                members[n].history.front().to = core::version{1, n + 2};
+        }
+        table_ = routing::routing_table::create({1, members.size() + 1}, services_, nullptr,
+            {{{route_address, {{services_.front().id, 100}}, {}, 0ms}}, {}});
+    }
+
     /// Sends a packet of a flow that `holder` holds, through the agents. Returns the decision at the end of its way.
     routing::packet_decision send(const core::upstream_id& holder)
     {
@@ -145,6 +160,36 @@
     }
 }
 
+// A header lists 24 upstreams. The flows of a holder behind them were rejected, although the holder was alive: holders
+// become that many when upstreams are replaced one after the other while long flows stay open.
+TEST_CASE("a flow is found at every upstream that may hold it, however many they are")
+{
+    const auto upstreams = GENERATE(values<std::size_t>({24, 25, 49, 136}));
+    for (std::size_t n = 0; n < upstreams; n += 3) {
+        service_search it(1, upstreams, true);
+        it.replace_upstreams_one_by_one();
+        const auto holder = it.services_.front().members[n].target.id;
+        const auto end = it.send(holder);
+        CAPTURE(upstreams, n, static_cast<int>(end.reason), it.visits);
+        CHECK(end.action == packet_action::deliver);
+        CHECK(it.at == holder);
+        CHECK(it.max_header_bytes < 600);
+    }
+}
+
+// The search of a large service must end, and ask each upstream once.
+TEST_CASE("a flow that no upstream of a large service holds is rejected after all were asked")
+{
+    const auto upstreams = GENERATE(values<std::size_t>({24, 25, 49, 136}));
+    CAPTURE(upstreams);
+    service_search it(1, upstreams, true);
+    it.replace_upstreams_one_by_one();
+    const auto end = it.send(core::upstream_id(0));
+    CHECK(end.action == packet_action::reject);
+    CHECK(end.reason == packet_reason::unknown_flow);
+    CHECK(it.visits == upstreams);
+}
+
 // Callers of a flow that no upstream holds must get an answer, after each upstream was asked once.
 TEST_CASE("a flow that no service holds is rejected after all were searched")
 {
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -77,6 +77,7 @@
     message.set_fallback_open_flows(it.fallback_load.open_flows);
     message.set_hops(it.hops);
     message.set_asked(it.asked);
+    message.set_search_offset(it.search_offset);
     message.set_is_new(it.is_new);
     for (const auto& service : it.searched)
         message.add_searched(service.value());
@@ -121,6 +122,7 @@
     result.fallback_load = {message.fallback_failing(), message.fallback_waiting(), message.fallback_open_flows()};
     result.hops = message.hops();
     result.asked = message.asked();
+    result.search_offset = message.search_offset();
     result.is_new = message.is_new();
     if (message.searched_size() > static_cast<int>(max_listed_services))
         throw core::malformed_message("packet header names " + std::to_string(message.searched_size()) + " services");
