configuration: Show the priority of a route in the check and the comparison of plans

Cause: the check of a plan was written beside the priority of routes and did not know it. A changed priority was not shown, and a priority without a latency target has no effect without anybody being told.

--- a/libraries/ibisdyke/configuration/plan_check.cpp
+++ b/libraries/ibisdyke/configuration/plan_check.cpp
@@ -3,6 +3,8 @@
 #include "ibisdyke/configuration/plan_text.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 
@@ -58,6 +60,35 @@
                     + ", after which the flow of a running request may be discarded"});
 }
 
+/// Returns the priorities of the routes of each service that take new flows there.
+std::map<std::string, std::set<std::uint32_t>> priorities_by_service(const route_plan& plan)
+{
+    std::map<std::string, std::set<std::uint32_t>> result;
+    for (const auto& route : plan.routes) {
+        for (const auto& it : route.targets) {
+            if (it.weight > 0)
+                result[it.service].insert(route.priority);
+        }
+    }
+    return result;
+}
+
+/// Flows of a route without a latency target wait as long as it takes, whatever their priority.
+void check_priorities(const route_plan& plan, findings& result)
+{
+    const auto priorities = priorities_by_service(plan);
+    for (std::size_t i = 0; i < plan.routes.size(); ++i) {
+        const auto& route = plan.routes[i];
+        const bool competes = std::any_of(route.targets.begin(), route.targets.end(), [&priorities](const auto& it) {
+            const auto service = priorities.find(it.service);
+            return it.weight > 0 && service != priorities.end() && service->second.size() > 1;
+        });
+        if (competes && route.latency_target == unset)
+            result.push_back({kind::priority_without_latency_target, field_path("routes", i, "priority"), route.name,
+                std::to_string(route.priority), "a latency target, because the priority has no effect without one"});
+    }
+}
+
 void check_routes(const route_plan& plan, findings& result)
 {
     if (plan.routes.empty())
@@ -66,6 +97,7 @@
         check_targets(plan.routes[i], i, result);
         check_times(plan.routes[i], i, plan.idle_timeout, result);
     }
+    check_priorities(plan, result);
 }
 
 void check_cold_start(const planned_service& service, std::size_t i, findings& result)
--- a/libraries/ibisdyke/configuration/plan_diff.cpp
+++ b/libraries/ibisdyke/configuration/plan_diff.cpp
@@ -25,6 +25,7 @@
         kind::request_timeout_changed, [](const planned_route& it) { return detail::time_text(it.request_timeout); }},
     route_property{
         kind::latency_target_changed, [](const planned_route& it) { return detail::time_text(it.latency_target); }},
+    route_property{kind::priority_changed, [](const planned_route& it) { return std::to_string(it.priority); }},
 };
 
 std::string address_text(const service_address& it)
@@ -143,6 +144,7 @@
     case plan_change_kind::route_added:
     case plan_change_kind::weights_changed:
     case plan_change_kind::latency_target_changed:
+    case plan_change_kind::priority_changed:
     case plan_change_kind::cold_start_changed:
         return flow_effect::new_flows;
     case plan_change_kind::idle_timeout_changed:
@@ -172,6 +174,8 @@
         return "request_timeout_changed";
     case plan_change_kind::latency_target_changed:
         return "latency_target_changed";
+    case plan_change_kind::priority_changed:
+        return "priority_changed";
     case plan_change_kind::service_added:
         return "service_added";
     case plan_change_kind::service_withdrawn:
--- a/libraries/ibisdyke/configuration/plan_diff.h
+++ b/libraries/ibisdyke/configuration/plan_diff.h
@@ -19,6 +19,7 @@
     weights_changed,
     request_timeout_changed,
     latency_target_changed,
+    priority_changed,
     service_added,
     service_withdrawn,
     cold_start_changed,
--- a/libraries/ibisdyke/configuration/plan_finding.cpp
+++ b/libraries/ibisdyke/configuration/plan_finding.cpp
@@ -23,6 +23,7 @@
     case plan_finding_kind::idle_timeout_below_request_timeout:
     case plan_finding_kind::cold_start_without_rate:
     case plan_finding_kind::cold_start_rate_without_duration:
+    case plan_finding_kind::priority_without_latency_target:
         return finding_severity::warning;
     case plan_finding_kind::already_in_force:
         break;
@@ -80,6 +81,8 @@
         return "cold_start_without_rate";
     case plan_finding_kind::cold_start_rate_without_duration:
         return "cold_start_rate_without_duration";
+    case plan_finding_kind::priority_without_latency_target:
+        return "priority_without_latency_target";
     case plan_finding_kind::already_in_force:
         break;
     }
--- a/libraries/ibisdyke/configuration/plan_finding.h
+++ b/libraries/ibisdyke/configuration/plan_finding.h
@@ -35,6 +35,8 @@
     idle_timeout_below_request_timeout,
     cold_start_without_rate,
     cold_start_rate_without_duration,
+    /// The route competes for a service with routes of other priorities, but has no latency target.
+    priority_without_latency_target,
     already_in_force,
 };
 
--- a/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
+++ b/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
@@ -113,6 +113,23 @@
     CHECK_FALSE(has_errors(found));
 }
 
+// A priority decides only about flows that would wait for a slot within their latency target.
+TEST_CASE("a check of a route plan reports a priority without a latency target")
+{
+    auto plan = clean_plan();
+    plan.routes[0].priority = 1;
+    CHECK(summary(check_plan(plan)) == lines{"priority_without_latency_target routes[1].priority"});
+    plan.routes[1].priority = 1;
+    CHECK(check_plan(plan).empty());
+    plan.routes[1].priority = 2;
+    plan.routes[1].latency_target = 500ms;
+    CHECK(check_plan(plan).empty());
+    CHECK(kinds(diff(clean_plan(), plan))
+        == std::vector{plan_change_kind::priority_changed, plan_change_kind::latency_target_changed,
+            plan_change_kind::priority_changed});
+    CHECK(effect_of(plan_change_kind::priority_changed) == flow_effect::new_flows);
+}
+
 // Limits that are equal or not set do not contradict each other.
 TEST_CASE("a check of a route plan accepts limits at their bounds")
 {
