--- a/libraries/ibisdyke/routing/flow_search.cpp
+++ b/libraries/ibisdyke/routing/flow_search.cpp
@@ -47,6 +47,7 @@
 {
     auto result = members.holders(bucket);
     std::vector<core::upstream_id> used;
+    used.reserve(result.size());
     for (const auto& it : result)
         used.push_back(it.id);
     const auto others = members.other_members(bucket, used);
