--- a/libraries/ibisdyke/routing/flow_admission_control.cpp
+++ b/libraries/ibisdyke/routing/flow_admission_control.cpp
@@ -18,6 +18,10 @@
 /// gets up to one waiting request for each slot.
 constexpr int assumed_service_percent = 25;
 
+/// An upstream that has had no free slot for this long is unlikely to have one at a caller's next retransmission. Equal
+/// to the time from a caller's first SYN to its last retransmission.
+constexpr core::milliseconds sustained_overload{600};
+
 /// Callers give up after this many retransmissions of a SYN.
 constexpr std::uint32_t last_retransmission = 2;
 
@@ -48,19 +52,10 @@
     pace_.record_offered_flow(pending_.size(), latency_target, now);
     if (packet.syn_retransmissions > 0 && pending_.queue_per_mille() > 0)
         return packet_reason::yields;
-    return has_latency_target ? check_latency(*route, now) : std::nullopt;
-}
-
-/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait or a slot is free. Records the
-/// refusal.
-std::optional<packet_reason> flow_admission_control::check_latency(const flow_route& route, core::time_point now)
-{
-    const auto result = latency_refusal(route, now);
-    if (result)
-        overload_.record_refusal(now);
-    return result;
+    return has_latency_target ? latency_refusal(*route, now) : std::nullopt;
 }
 
+/// Returns why a flow of the route must not wait for a slot, or nothing when it may wait or a slot is free.
 std::optional<packet_reason> flow_admission_control::latency_refusal(
     const flow_route& route, core::time_point now) const
 {
@@ -88,7 +83,7 @@
     if (!is_within_limits(agent.admission, open_flows, now))
         return packet_reason::no_capacity;
     const auto* const route = agent.table ? agent.table->destinations().find(packet.flow) : nullptr;
-    return route != nullptr ? check_latency(*route, now) : std::nullopt;
+    return route != nullptr ? latency_refusal(*route, now) : std::nullopt;
 }
 
 bool flow_admission_control::should_await_retransmission(
@@ -99,7 +94,8 @@
     if (refused == packet_reason::yields)
         return true;
     const bool is_full = refused == packet_reason::overloaded || refused == packet_reason::lower_priority;
-    return is_full && !overload_.is_lasting(pending_.busy_since(), now);
+    const auto since = pending_.busy_since();
+    return is_full && (!since || now - *since < sustained_overload);
 }
 
 bool flow_admission_control::is_within_limits(
--- a/libraries/ibisdyke/routing/flow_admission_control.h
+++ b/libraries/ibisdyke/routing/flow_admission_control.h
@@ -5,7 +5,6 @@
 #include "ibisdyke/routing/agent_snapshot.h"
 #include "ibisdyke/routing/failure_detector.h"
 #include "ibisdyke/routing/messages.h"
-#include "ibisdyke/routing/overload_monitor.h"
 #include "ibisdyke/routing/packet_decision.h"
 #include "ibisdyke/routing/packet_info.h"
 #include "ibisdyke/routing/pending_requests.h"
@@ -83,14 +82,12 @@
 
 private:
     std::chrono::nanoseconds expected_response_time(core::milliseconds latency_target) const;
-    std::optional<packet_reason> check_latency(const flow_route& route, core::time_point now);
     std::optional<packet_reason> latency_refusal(const flow_route& route, core::time_point now) const;
     void update_upstream(const agent_snapshot& agent, core::time_point now);
     void record_failure(core::time_point now);
     void record_answer(const flow_key& flow, std::chrono::nanoseconds service_time, core::time_point now);
 
     pending_requests pending_;
-    overload_monitor overload_;
     priority_room priorities_;
     failure_detector failures_;
     start_pace pace_;
