routing: Check what a packet header refers to, and end every extended search

Found by a review of the search of large services and of flows that come back. A header is input from the network. Two agents with different tables could extend a search for ever, because its offset need not grow; it does now. A flow of a lower priority that came back was rejected as no_capacity instead of waiting for its retransmission; and the latency bound applied to datagrams of a restarted member, which the other candidates may begin; it is for flows that come back only. A datagram with a full header took a token of the limit on extensions for nothing.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -304,14 +304,12 @@
     if (packet.kind == packet_kind::datagram && !agent.members->chain_of(bucket).truncated)
         return false;
     const auto missing = members_missing_from(bucket, header, *agent.members);
-    if (missing.empty() || !search_extensions_.take(now))
+    const bool is_full = header.chain.size() >= max_header_members;
+    // The candidates at the front of the chain must stay for a datagram, which may begin a flow.
+    if (missing.empty() || (is_full && packet.kind == packet_kind::datagram) || !search_extensions_.take(now))
         return false;
-    if (header.chain.size() >= max_header_members) {
-        // The candidates at the front of the chain must stay for a datagram, which may begin a flow.
-        if (packet.kind == packet_kind::datagram)
-            return false;
+    if (is_full)
         begin_next_members(bucket, header, *agent.members);
-    }
     const auto n = std::min(max_header_members - header.chain.size(), missing.size());
     for (std::size_t i = 0; i < n; ++i)
         header.chain.push_back({missing[i].id, missing[i].packet_endpoint});
--- a/libraries/ibisdyke/routing/flow_agent.h
+++ b/libraries/ibisdyke/routing/flow_agent.h
@@ -107,6 +107,8 @@
         const std::optional<packet_reason>& refusal, core::time_point now);
     packet_decision assign(
         const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
+    std::optional<packet_reason> assignment_refusal(
+        const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now);
     packet_decision refuse_new_flow(
         const packet_info& packet, const packet_header& header, packet_reason reason, core::time_point now) const;
     packet_decision forward_new_flow(const packet_info& packet, packet_header header, std::uint32_t position,
--- a/libraries/ibisdyke/routing/flow_agent_placement.cpp
+++ b/libraries/ibisdyke/routing/flow_agent_placement.cpp
@@ -113,6 +113,17 @@
     return result;
 }
 
+/// Returns why the flow cannot be assigned to this agent. A flow that the candidates have passed back must be answered
+/// in time. Any other one was not offered elsewhere, so only the limits apply.
+std::optional<packet_reason> flow_agent::assignment_refusal(
+    const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now)
+{
+    if (header.fallback)
+        return admission_.assignment_refusal_reason(packet, agent, flows_.open_flows(), now);
+    const bool is_within_limits = admission_.is_within_limits(agent.admission, flows_.open_flows(), now);
+    return is_within_limits ? std::nullopt : std::optional(packet_reason::no_capacity);
+}
+
 packet_decision flow_agent::assign(
     const packet_info& packet, const packet_header& header, const agent_snapshot& agent, core::time_point now)
 {
@@ -128,10 +139,10 @@
     }
     if (uses_outdated_table(header, agent))
         return search_own_chain(packet, header, agent, now);
-    const auto refusal = admission_.assignment_refusal_reason(packet, agent, flows_.open_flows(), now);
+    const auto refusal = assignment_refusal(packet, header, agent, now);
     if (!refusal)
         return begin_flow(packet, header, agent, now);
-    if (*refusal == packet_reason::overloaded)
+    if (*refusal != packet_reason::no_capacity)
         return refuse_new_flow(packet, header, *refusal, now);
     // If a restarted member cannot take a datagram, the candidates may begin the flow.
     auto placed = header;
--- a/libraries/ibisdyke/routing/flow_search.cpp
+++ b/libraries/ibisdyke/routing/flow_search.cpp
@@ -174,7 +174,8 @@
 
 std::optional<std::uint32_t> next_unasked_candidate(const packet_header& header)
 {
-    for (auto position = header.position + 1; position < header.candidates; ++position) {
+    const auto candidates = std::min<std::size_t>(header.candidates, header.chain.size());
+    for (auto position = header.position + 1; position < candidates; ++position) {
         if (!was_asked(header, position))
             return position;
     }
@@ -259,9 +260,14 @@
 void begin_next_members(std::uint32_t bucket, packet_header& header, const service_chains& members)
 {
     const auto order = search_order(bucket, members);
-    auto offset = asked_before(header, order);
+    const auto asked = asked_before(header, order);
+    auto offset = asked;
     while (offset < order.size() && is_in_chain(header, order[offset].id))
         ++offset;
+    // Agents with different tables search in different orders. The search ends because the offset always grows.
+    offset = std::max(offset, asked + 1);
+    if (header.restarted && *header.restarted >= header.chain.size())
+        header.restarted.reset();
     std::vector<header_member> kept{header.chain[header.position]};
     if (header.restarted && *header.restarted != header.position)
         kept.push_back(header.chain[*header.restarted]);
--- a/libraries/ibisdyke/routing/tests/codec_test.cpp
+++ b/libraries/ibisdyke/routing/tests/codec_test.cpp
@@ -53,6 +53,22 @@
     CHECK(wire::decode_version_notice(wire::encode(notice)) == notice);
 }
 
+// An agent would read beyond the chain of a header that names a member behind its end.
+TEST_CASE("a packet header that refers to a member beyond its chain is malformed")
+{
+    const auto header = make_full_header();
+    const auto beyond = static_cast<std::uint32_t>(max_header_members);
+    auto it = header;
+    it.candidates = beyond + 1;
+    CHECK_THROWS_AS(wire::decode_packet_header(wire::encode(it)), core::malformed_message);
+    it = header;
+    it.restarted = beyond;
+    CHECK_THROWS_AS(wire::decode_packet_header(wire::encode(it)), core::malformed_message);
+    it = header;
+    it.fallback = beyond;
+    CHECK_THROWS_AS(wire::decode_packet_header(wire::encode(it)), core::malformed_message);
+}
+
 // A balancer's header would decode differently from an agent's if its separately encoded parts did not fit together.
 TEST_CASE("the encoded parts of a header decode to the whole")
 {
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -100,6 +100,17 @@
     return message.SerializeAsString();
 }
 
+namespace {
+
+void check_positions(const packet_header& it)
+{
+    const auto n = it.chain.size();
+    if (it.candidates > n || (it.restarted && *it.restarted >= n) || (it.fallback && *it.fallback >= n))
+        throw core::malformed_message("packet header refers to a member beyond its " + std::to_string(n) + " members");
+}
+
+} // namespace
+
 packet_header decode_packet_header(std::string_view bytes)
 {
     const auto& message = parse_header(bytes);
@@ -120,6 +131,7 @@
     result.recovery_left_ms = message.recovery_left_ms();
     result.fallback = read_position(message.fallback());
     result.fallback_load = {message.fallback_failing(), message.fallback_waiting(), message.fallback_open_flows()};
+    check_positions(result);
     result.hops = message.hops();
     result.asked = message.asked();
     result.search_offset = message.search_offset();
