routing: State what the phase assign and the limit of visited agents mean now

Cause: the comments of search_phase::assign and max_hops described them as before a flow that comes back is checked and a large service is searched to the end.

--- a/libraries/ibisdyke/routing/flow_search.h
+++ b/libraries/ibisdyke/routing/flow_search.h
@@ -79,7 +79,8 @@
     std::uint32_t bucket, const packet_header& header, const service_chains& members);
 
 /// Replaces the members of a full chain, all of which were asked, so that the next ones in search order can be added.
-/// Keeps the member at the current position, and the one that may adopt the flow.
+/// Keeps the member at the current position, and the one that may adopt the flow. Drops the candidates, so the packet
+/// must not be one that may start a flow.
 void begin_next_members(std::uint32_t bucket, packet_header& header, const service_chains& members);
 
 /// Prepares the header to place a new flow, starting at the first candidate. Returns false if there is no candidate.
--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -19,8 +19,11 @@
     find,
     /// Begin the flow here if the upstream may take it. No member knows the flow.
     place,
-    /// Begin or adopt the flow here even if the upstream is loaded. No member knows the flow, and this one is the least
-    /// loaded candidate or may have lost the flow in a restart. The baseline routers use it for every packet.
+    /// Begin or adopt the flow here even if the upstream is loaded; a flow that other candidates have passed back only
+    /// if
+    /// it can still be answered in time. No member knows the flow, and this one is the least loaded candidate or may
+    /// have
+    /// lost the flow in a restart. The baseline routers use it for every packet.
     assign,
 };
 
@@ -36,7 +39,8 @@
 /// completely. Keeps the header within the size limit of a datagram's prefix.
 constexpr std::size_t max_offered_services = 4;
 
-/// Maximum number of agents that one packet visits in the search of one service.
+/// Maximum number of agents that one packet visits in the search of one service, or of the members that its header
+/// lists if the service has more.
 constexpr std::uint32_t max_hops = 64;
 
 /// A chain member in a packet header.
--- a/libraries/ibisdyke/routing/wire/codec.cpp
+++ b/libraries/ibisdyke/routing/wire/codec.cpp
@@ -26,6 +26,14 @@
     return it == 0 ? std::nullopt : std::optional<std::uint32_t>(it - 1);
 }
 
+/// Throws core::malformed_message if the header refers to a member beyond its chain.
+void check_positions(const packet_header& it)
+{
+    const auto n = it.chain.size();
+    if (it.candidates > n || (it.restarted && *it.restarted >= n) || (it.fallback && *it.fallback >= n))
+        throw core::malformed_message("packet header refers to a member beyond its " + std::to_string(n) + " members");
+}
+
 void write_candidate(const target_fallback& it, QueueingCandidate& to)
 {
     to.set_service(it.service.value());
@@ -100,17 +108,6 @@
     return message.SerializeAsString();
 }
 
-namespace {
-
-void check_positions(const packet_header& it)
-{
-    const auto n = it.chain.size();
-    if (it.candidates > n || (it.restarted && *it.restarted >= n) || (it.fallback && *it.fallback >= n))
-        throw core::malformed_message("packet header refers to a member beyond its " + std::to_string(n) + " members");
-}
-
-} // namespace
-
 packet_header decode_packet_header(std::string_view bytes)
 {
     const auto& message = parse_header(bytes);
