platform: Read and check every documented field of a configuration

Cause: the adapter read a field only where it used the value. A split beside a service and the fields without an effect (kind, attempts, health-path, max-conns, protocol, tls, three of the limits) never reached a check, and the JSON parser keeps one value of a repeated field. Ruled out: validation, which refuses the same name in a split without a service; a late or second plan, since the log shows one plan_accepted and no call_refused.

Change: every documented field is read wherever it stands. Targets that have no effect stay in the parsed plan as overridden_targets, which validation checks before the plan is proposed and which the replicated log does not store; the check of a configuration reports them. Repeated fields are refused by the parser that the adapter, the administration API and ibisdykectl now share. The administration API refuses a cold start that is negative or longer than a year. A service beside a split, further fields and missing optional ones are accepted as before.

--- a/libraries/ibisdyke/configuration/plan_check.cpp
+++ b/libraries/ibisdyke/configuration/plan_check.cpp
@@ -42,6 +42,10 @@
             result.push_back({kind::zero_weight, path(n, "weight"), route.name, "0",
                 "a weight above 0; service \"" + target.service + "\" gets no new flows from this target"});
     }
+    if (!route.overridden_targets.empty())
+        result.push_back({kind::overridden_targets, field_path("routes", i, "overridden_targets"), route.name,
+            std::to_string(route.overridden_targets.size()) + " targets",
+            "none; they have no effect, because all flows go to \"" + route.targets.front().service + "\""});
 }
 
 void check_times(const planned_route& route, std::size_t i, core::milliseconds idle_timeout, findings& result)
--- a/libraries/ibisdyke/configuration/plan_finding.cpp
+++ b/libraries/ibisdyke/configuration/plan_finding.cpp
@@ -18,6 +18,7 @@
     case plan_finding_kind::no_routes:
     case plan_finding_kind::zero_weight:
     case plan_finding_kind::duplicate_target:
+    case plan_finding_kind::overridden_targets:
     case plan_finding_kind::unused_service:
     case plan_finding_kind::latency_target_above_timeout:
     case plan_finding_kind::idle_timeout_below_request_timeout:
@@ -71,6 +72,8 @@
         return "zero_weight";
     case plan_finding_kind::duplicate_target:
         return "duplicate_target";
+    case plan_finding_kind::overridden_targets:
+        return "overridden_targets";
     case plan_finding_kind::unused_service:
         return "unused_service";
     case plan_finding_kind::latency_target_above_timeout:
--- a/libraries/ibisdyke/configuration/plan_finding.h
+++ b/libraries/ibisdyke/configuration/plan_finding.h
@@ -30,6 +30,8 @@
     no_routes,
     zero_weight,
     duplicate_target,
+    /// The route has targets that its other targets take precedence over.
+    overridden_targets,
     unused_service,
     latency_target_above_timeout,
     idle_timeout_below_request_timeout,
--- a/libraries/ibisdyke/configuration/route_plan.cpp
+++ b/libraries/ibisdyke/configuration/route_plan.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace ibisdyke::configuration {
@@ -34,17 +35,24 @@
     }
 }
 
-void find_target_errors(
-    const planned_route& it, std::size_t i, const std::set<std::string>& services, std::vector<plan_finding>& result)
+void find_unknown_services(const planned_route& it, const std::vector<planned_target>& targets, const std::string& path,
+    const std::set<std::string>& services, std::vector<plan_finding>& result)
 {
-    const auto path = field_path("routes", i, "targets");
-    std::uint64_t total = 0;
-    for (const auto& target : it.targets) {
+    for (const auto& target : targets) {
         if (!services.contains(target.service))
             result.push_back(
                 {plan_finding_kind::unknown_service, path, it.name, target.service, "a service of the plan"});
-        total += target.weight;
     }
+}
+
+void find_target_errors(
+    const planned_route& it, std::size_t i, const std::set<std::string>& services, std::vector<plan_finding>& result)
+{
+    const auto path = field_path("routes", i, "targets");
+    find_unknown_services(it, it.targets, path, services, result);
+    find_unknown_services(it, it.overridden_targets, field_path("routes", i, "overridden_targets"), services, result);
+    const auto total = std::accumulate(it.targets.begin(), it.targets.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const auto& target) { return sum + target.weight; });
     if (total == 0)
         result.push_back({plan_finding_kind::no_weight, path, it.name, it.name, "a target with a weight above 0"});
 }
--- a/libraries/ibisdyke/configuration/route_plan.h
+++ b/libraries/ibisdyke/configuration/route_plan.h
@@ -31,6 +31,9 @@
     core::milliseconds latency_target{0};
     /// How urgent the flows are compared with those of the service's other routes; 0 is the highest priority.
     std::uint32_t priority = 0;
+    /// Targets that the document gives in addition and that `targets` take precedence over. They are validated but have
+    /// no effect, and the replicated log does not store them.
+    std::vector<planned_target> overridden_targets = {};
 
     friend bool operator==(const planned_route&, const planned_route&) = default;
 };
@@ -82,8 +85,8 @@
 };
 
 /// Returns an error for each value that is not allowed: the revision is 0, a service name is not allowed or not unique,
-/// a target is not a service of the plan, two routes have the same address, a request timeout is 0, or all weights of a
-/// route are 0.
+/// a target is not a service of the plan (also an overridden target), two routes have the same address, a request
+/// timeout is 0, or all weights of a route are 0.
 std::vector<plan_finding> find_errors(const route_plan& plan);
 
 /// Throws core::invalid_input with the first of these errors.
--- a/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
+++ b/libraries/ibisdyke/configuration/tests/plan_check_test.cpp
@@ -1,5 +1,6 @@
 #include "ibisdyke/configuration/plan_check.h"
 #include "ibisdyke/configuration/plan_diff.h"
+#include "ibisdyke/core/error.h"
 
 #include <catch2/catch.hpp>
 
@@ -52,6 +53,19 @@
 
 } // namespace
 
+// A target without an effect is part of what the operator has sent, so a name in it that no service has is an error.
+TEST_CASE("the targets that others take precedence over are checked")
+{
+    auto plan = clean_plan();
+    plan.routes[1].overridden_targets = {{"desk", 0}, {"store", 5}};
+    CHECK_NOTHROW(validate(plan));
+    CHECK(summary(check_plan(plan)) == lines{"overridden_targets routes[1].overridden_targets"});
+    plan.routes[1].overridden_targets.push_back({"dseck", 1});
+    CHECK_THROWS_AS(validate(plan), core::invalid_input);
+    CHECK(summary(check_plan(plan))
+        == lines{"unknown_service routes[1].overridden_targets", "overridden_targets routes[1].overridden_targets"});
+}
+
 // validate() stops at the first error, so that an operator would have to send a plan once for each of its errors.
 TEST_CASE("a check of a route plan reports all of its errors")
 {
--- a/libraries/ibisdyke/configuration/wire/json_codec.cpp
+++ b/libraries/ibisdyke/configuration/wire/json_codec.cpp
@@ -6,6 +6,8 @@
 #include <QJsonArray>
 
 #include <array>
+#include <chrono>
+#include <string>
 #include <utility>
 
 namespace ibisdyke::configuration::wire {
@@ -39,6 +41,23 @@
     return result;
 }
 
+/// Longer cold starts are refused. They would overflow when a decision adds them to the present time in nanoseconds.
+constexpr std::chrono::hours max_cold_start{24 * 365};
+
+cold_start_bound read_cold_start(object_reader& in)
+{
+    cold_start_bound result;
+    in.read_duration("cold_start_ms", result.duration);
+    if (result.duration > max_cold_start)
+        throw core::invalid_input(
+            in.path("cold_start_ms"), std::to_string(result.duration.count()), "a time from 0 to one year");
+    in.read_number("cold_start_flows_per_second", result.flows_per_second);
+    if (!(result.flows_per_second >= 0))
+        throw core::invalid_input(
+            in.path("cold_start_flows_per_second"), std::to_string(result.flows_per_second), "a number of at least 0");
+    return result;
+}
+
 neighbour_share read_share(object_reader& in)
 {
     neighbour_share result;
@@ -122,8 +141,7 @@
     std::string owner;
     reader.read_text("owner", owner);
     result.owner = core::neighbour(std::move(owner));
-    reader.read_duration("cold_start_ms", result.cold_start.duration);
-    reader.read_number("cold_start_flows_per_second", result.cold_start.flows_per_second);
+    result.cold_start = read_cold_start(reader);
     reader.read_list("addresses", [&](object_reader& it) { result.addresses.push_back(read_address(it)); });
     reader.finish();
     return result;
--- a/libraries/ibisdyke/configuration/wire/object_reader.h
+++ b/libraries/ibisdyke/configuration/wire/object_reader.h
@@ -88,6 +88,16 @@
         out = value.toDouble();
     }
 
+    void read_flag(const QString& name, bool& out)
+    {
+        if (!object_.contains(name))
+            return;
+        const auto value = read_value(name);
+        if (!value.isBool())
+            fail(name, value, "true or false");
+        out = value.toBool();
+    }
+
     template <typename Integer>
     void read_integer(const QString& name, Integer& out)
     {
@@ -111,6 +121,25 @@
         out = core::milliseconds(count);
     }
 
+    /// The following functions check optional fields whose values are not used.
+    void check_text(const QString& name)
+    {
+        std::string unused;
+        read_text(name, unused);
+    }
+
+    void check_integer(const QString& name)
+    {
+        std::uint64_t unused = 0;
+        read_integer(name, unused);
+    }
+
+    void check_flag(const QString& name)
+    {
+        bool unused = false;
+        read_flag(name, unused);
+    }
+
     template <typename Read>
     void read_list(const QString& name, Read read)
     {
--- a/libraries/ibisdyke/frontends/administration/admin_exchange.cpp
+++ b/libraries/ibisdyke/frontends/administration/admin_exchange.cpp
@@ -1,6 +1,7 @@
 #include "ibisdyke/frontends/administration/admin_exchange.h"
 
 #include "ibisdyke/configuration/token_digest.h"
+#include "ibisdyke/configuration/wire/json_document.h"
 #include "ibisdyke/core/error.h"
 #include "ibisdyke/core/parse_number.h"
 
@@ -43,11 +44,7 @@
 {
     if (body_.isEmpty())
         return;
-    QJsonParseError error;
-    const auto document = QJsonDocument::fromJson(body_, &error);
-    if (!document.isObject())
-        throw core::invalid_input("body", error.errorString().toStdString(), "a JSON object");
-    json_ = document.object();
+    json_ = configuration::wire::parse_json_object("body", body_);
 }
 
 QJsonObject admin_exchange::object_field(const char* name) const
--- a/services/control/tests/admin_api_test.cpp
+++ b/services/control/tests/admin_api_test.cpp
@@ -107,6 +107,15 @@
               {{"command_id", "3"}, {"document", QJsonObject{{"name", "desk"}, {"profile", "none"}}}})
         == "profile");
     CHECK(field_of("/v1/tokens/abc", {{"command_id", "4"}, {"neighbour", "n"}, {"role", "read"}}) == "digest");
+    // A cold start that no decision can add to the present time must not reach the replicated log.
+    const auto cold_start = [](const char* name, double value) {
+        return QJsonObject{
+            {"command_id", "5"}, {"document", QJsonObject{{"name", "desk"}, {"profile", "gold"}, {name, value}}}};
+    };
+    CHECK(field_of("/v1/services/desk", cold_start("cold_start_ms", 9e15)) == "cold_start_ms");
+    CHECK(field_of("/v1/services/desk", cold_start("cold_start_ms", -1)) == "cold_start_ms");
+    CHECK(
+        field_of("/v1/services/desk", cold_start("cold_start_flows_per_second", -1)) == "cold_start_flows_per_second");
 }
 
 TEST_CASE_METHOD(admin_api_fixture, "unknown paths, methods and tokens are refused")
--- a/utilities/ibisdykectl/document_commands.cpp
+++ b/utilities/ibisdykectl/document_commands.cpp
@@ -5,10 +5,9 @@
 
 #include "ibisdyke/configuration/validation.h"
 #include "ibisdyke/configuration/wire/json_codec.h"
+#include "ibisdyke/configuration/wire/json_document.h"
 #include "ibisdyke/core/error.h"
 
-#include <QJsonDocument>
-
 #include <iostream>
 
 namespace ibisdyke::ctl {
@@ -17,12 +16,7 @@
 
 QJsonObject read_document(const std::string& name)
 {
-    QJsonParseError error;
-    const auto document = QJsonDocument::fromJson(read_file(name), &error);
-    if (!document.isObject())
-        throw core::invalid_input("FILE", name,
-            "a JSON object (" + error.errorString().toStdString() + " at byte " + std::to_string(error.offset) + ")");
-    return document.object();
+    return configuration::wire::parse_json_object(name, read_file(name));
 }
 
 configuration::profile read_profile(command_session& session)
