membership: Keep a departure notice of a former run from ending the present one

Cause: upstream_presence compared a departure notice with the id of the current run alone, and nothing but another run undid it. On related paths, a single late announcement of a run with an earlier start replaced a run that had left or was silent for 1.5 periods, whose announcements were then ignored for good; and a restarted agent took whichever announcement came first for the present run. Ruled out: an expired lease (the agent's heartbeats went on; its log has upstream_state state=left with the id and born_ms of the present run at the arrival of the notice).

Change: a notice takes effect at once only if no former run can have had its id. Otherwise the upstream takes no new flows until it is silent for 1.5 periods (it has left) or announces twice that it is ready (the notice was late). Earlier runs need several announcements some time apart. A restarted agent learns the run that was reported last from its record. An agent that is told to stop waits for the decision.

--- a/libraries/ibisdyke/membership/tests/upstream_presence_test.cpp
+++ b/libraries/ibisdyke/membership/tests/upstream_presence_test.cpp
@@ -23,9 +23,12 @@
     return result;
 }
 
+/// Tracks the upstream since its first run.
 membership::upstream_presence make_presence()
 {
-    return {"desk", address, 1s};
+    membership::upstream_presence result{"desk", address, 1s};
+    result.set_has_predecessor(false);
+    return result;
 }
 
 } // namespace
@@ -43,9 +46,9 @@
     draining.draining = true;
     CHECK(it.on_announcement(draining, start + 4s));
     CHECK(it.state(start + 4s) == presence::draining);
-    it.on_departure("other");
+    it.on_departure("other", start + 4s);
     CHECK(it.state(start + 4s) == presence::draining);
-    it.on_departure("a");
+    it.on_departure("a", start + 4s);
     CHECK(it.state(start + 4s) == presence::left);
 }
 
@@ -78,7 +81,7 @@
 {
     auto it = make_presence();
     CHECK(it.on_announcement(announced("a", 5, 70), start));
-    it.on_departure("a");
+    it.on_departure("a", start);
     CHECK(it.on_announcement(announced("a", 9, 1), start + 1s));
     CHECK(it.run_count() == 2);
     CHECK(it.state(start + 1s) == presence::ready);
--- a/libraries/ibisdyke/membership/upstream_presence.cpp
+++ b/libraries/ibisdyke/membership/upstream_presence.cpp
@@ -1,6 +1,7 @@
 #include "ibisdyke/membership/upstream_presence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ibisdyke::membership {
 
@@ -8,6 +9,18 @@
 
 constexpr std::size_t max_replaced_runs = 64;
 
+/// The announcements, some time apart, that show that a run lives.
+constexpr std::size_t announcements_of_live_run = 2;
+
+/// The same for a run with an earlier start time than one that has left or that an earlier process of the agent has
+/// reported. Such a run is most likely a former one, two of whose announcements were held up for different times.
+constexpr std::size_t announcements_of_unlikely_run = 3;
+
+upstream_run run_of(const announcement& it)
+{
+    return {it.id, it.started_at_ms};
+}
+
 } // namespace
 
 std::string_view to_string(presence it)
@@ -29,50 +42,131 @@
     : service_(std::move(service))
     , address_(address)
     , period_(period)
+    , current_run_(period / 2)
+    , earlier_run_(period / 2)
 {
 }
 
-bool upstream_presence::is_newer(const announcement& it, core::time_point now) const
+bool upstream_presence::on_announcement(const announcement& it, core::time_point now)
 {
     if (it.service != service_ || it.address != address_)
         return false;
-    if (!latest_)
+    if (is_current_run(it)) {
+        if (!continues_run(it, now))
+            return false;
+    } else {
+        if (!may_begin_run(it, now))
+            return false;
+        begin_run(it);
+        current_run_.add(run_of(it), it.sequence, now);
+    }
+    latest_ = it;
+    last_announcement_at_ = now;
+    cold_until_ = now + it.cold_start_remaining;
+    return true;
+}
+
+bool upstream_presence::is_current_run(const announcement& it) const
+{
+    return latest_ && run_of(*latest_) == run_of(it);
+}
+
+bool upstream_presence::continues_run(const announcement& it, core::time_point now)
+{
+    if (it.sequence <= latest_->sequence)
+        return false;
+    if (!has_left_ && !undecided_departure_)
         return true;
-    if (it.id == latest_->id && it.started_at_ms == latest_->started_at_ms)
-        return it.sequence > latest_->sequence;
-    if (std::find(replaced_runs_.begin(), replaced_runs_.end(), run_key(it.id, it.started_at_ms))
-        != replaced_runs_.end())
+    if (has_left_ && departure_is_certain_)
         return false;
-    // The upstream's clock may have been set back between two runs, so an earlier start time alone does not make an
-    // announcement late. A run with an earlier start time replaces the current run only if the current run has stopped
-    // or has sent no announcement for more than 1.5 periods.
-    return it.started_at_ms > latest_->started_at_ms || has_left_
-        || now - last_announcement_at_ > period_ + period_ / 2;
+    const bool lives = current_run_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
+    if (has_left_ && !lives)
+        return false;
+    if (std::exchange(has_left_, false))
+        undecided_departure_ = departure_notice{it.id, now};
+    // A draining upstream stops in any case, so the notice stays until its announcements end.
+    if (lives && !it.draining)
+        undecided_departure_.reset();
+    return true;
 }
 
-bool upstream_presence::on_announcement(const announcement& it, core::time_point now)
+bool upstream_presence::may_begin_run(const announcement& it, core::time_point now)
 {
-    if (!is_newer(it, now))
+    if (std::find(replaced_runs_.begin(), replaced_runs_.end(), run_of(it)) != replaced_runs_.end())
         return false;
-    const bool same_run = latest_ && latest_->id == it.id && latest_->started_at_ms == it.started_at_ms;
-    if (!same_run) {
-        if (latest_)
-            replaced_runs_.emplace_back(latest_->id, latest_->started_at_ms);
-        if (replaced_runs_.size() > max_replaced_runs)
-            replaced_runs_.erase(replaced_runs_.begin());
-        ++run_count_;
-        has_left_ = false;
-    }
-    latest_ = it;
-    last_announcement_at_ = now;
-    cold_until_ = now + it.cold_start_remaining;
-    return true;
+    if (latest_ ? it.started_at_ms > latest_->started_at_ms : it.started_at_ms >= recorded_run_.value_or(0))
+        return true;
+    // The upstream's clock may have been set back between two runs, so an earlier start time alone does not make an
+    // announcement late. Such a run begins if it lives and the current run does not.
+    const auto count = earlier_run_.add(run_of(it), it.sequence, now);
+    if (has_left_ || undecided_departure_ || !latest_)
+        return count >= announcements_of_unlikely_run;
+    return count >= announcements_of_live_run && now - last_announcement_at_ > max_silence();
 }
 
-void upstream_presence::on_departure(const std::string& id)
+void upstream_presence::begin_run(const announcement& it)
 {
-    if (latest_ && latest_->id == id)
+    if (latest_)
+        replaced_runs_.push_back(run_of(*latest_));
+    if (replaced_runs_.size() > max_replaced_runs)
+        replaced_runs_.erase(replaced_runs_.begin());
+    // A notice that came before the first announcement may be of this run.
+    if (latest_ || (undecided_departure_ && undecided_departure_->id != it.id))
+        undecided_departure_.reset();
+    ++run_count_;
+    has_left_ = false;
+    current_run_.reset();
+    earlier_run_.reset();
+}
+
+void upstream_presence::on_departure(const std::string& id, core::time_point now)
+{
+    if (has_left_ || (latest_ && latest_->id != id))
+        return;
+    if (latest_ && !may_have_former_run(id)) {
         has_left_ = true;
+        departure_is_certain_ = true;
+        return;
+    }
+    if (undecided_departure_ && undecided_departure_->id == id)
+        return;
+    undecided_departure_ = departure_notice{id, now};
+    current_run_.reset();
+}
+
+bool upstream_presence::may_have_former_run(const std::string& id) const
+{
+    return has_predecessor_
+        || std::any_of(replaced_runs_.begin(), replaced_runs_.end(), [&id](const auto& it) { return it.id == id; });
+}
+
+void upstream_presence::on_recorded_run(std::uint64_t started_at_ms, core::time_point now)
+{
+    if (started_at_ms == 0 || recorded_run_ == started_at_ms)
+        return;
+    recorded_run_ = started_at_ms;
+    if (!latest_ || latest_->started_at_ms >= started_at_ms)
+        return;
+    earlier_run_.reset();
+    earlier_run_.add(run_of(*latest_), latest_->sequence, now);
+    latest_.reset();
+    has_left_ = false;
+}
+
+void upstream_presence::update(core::time_point now)
+{
+    if (!last_update_at_ || now - *last_update_at_ > period_ / 2)
+        last_pause_at_ = now;
+    last_update_at_ = now;
+    if (!undecided_departure_)
+        return;
+    const auto silent_since = std::max({last_announcement_at_, undecided_departure_->received_at, last_pause_at_});
+    if (now - silent_since <= max_silence())
+        return;
+    has_left_ = true;
+    departure_is_certain_ = false;
+    undecided_departure_.reset();
+    current_run_.reset();
 }
 
 presence upstream_presence::state(core::time_point now) const
@@ -81,7 +175,12 @@
         return presence::left;
     if (!latest_ || now - last_announcement_at_ > max_missed_announcements * period_)
         return presence::absent;
-    return latest_->draining ? presence::draining : presence::ready;
+    return latest_->draining || undecided_departure_ ? presence::draining : presence::ready;
+}
+
+std::uint64_t upstream_presence::run_started_at_ms() const
+{
+    return latest_ ? latest_->started_at_ms : recorded_run_.value_or(0);
 }
 
 } // namespace ibisdyke::membership
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -238,8 +238,9 @@
     control_endpoints_->set_members(state->membership);
     if (!first_state_version_)
         first_state_version_ = state->applied;
-    start_heartbeats();
     find_own_id();
+    read_recorded_run();
+    start_heartbeats();
     const auto domain = domain_state();
     const auto before = std::exchange(last_domain_state_, domain);
     if (before != configuration::domain_state::in && domain == configuration::domain_state::in)
@@ -402,6 +403,8 @@
     const auto now = transport::read_clock();
     const auto* const self = find_own_upstream();
     departure_.update(has_upstream_left(now), self == nullptr || self->state == membership::upstream_state::gone, now);
+    if (departure_decision_deadline_ && (now >= *departure_decision_deadline_ || !presence_->is_departure_undecided()))
+        begin_stop(now);
     if (stop_deadline_)
         finish_if_drained();
 }
@@ -434,6 +437,16 @@
 void agent_process::stop()
 {
     const auto now = transport::read_clock();
+    // Whether the upstream has stopped decides how this process does. If it has, it is silent by the deadline.
+    if (presence_ && presence_->is_departure_undecided())
+        departure_decision_deadline_ = now + presence_->max_silence() + tick_period;
+    else
+        begin_stop(now);
+}
+
+void agent_process::begin_stop(core::time_point now)
+{
+    departure_decision_deadline_.reset();
     if (has_upstream_left(now)) {
         stop_deadline_ = now + membership::departure_tracker::max_wait;
         return finish_if_drained();
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -50,6 +50,7 @@
     void find_own_id();
     bool is_restart_of(const core::upstream_id& id) const;
     core::incarnation upstream_incarnation() const;
+    void read_recorded_run();
     void check_upstream_restart();
     const membership::upstream* find_own_upstream() const;
     bool is_draining() const;
@@ -69,6 +70,7 @@
     membership::heartbeat make_heartbeat();
     void refresh(const core::version& seen);
     void stop();
+    void begin_stop(core::time_point now);
     void finish_if_drained();
     /// Whether the upstream has announced that it stopped.
     bool has_upstream_left(core::time_point now) const;
@@ -108,6 +110,8 @@
     double mean_open_flows_ = 0;
     configuration::domain_state last_domain_state_ = configuration::domain_state::in;
     std::optional<core::time_point> stop_deadline_;
+    /// Set when the process was told to stop while a departure notice was undecided: when it stops in any case.
+    std::optional<core::time_point> departure_decision_deadline_;
     bool requests_drained_ = false;
     membership::departure_tracker departure_;
 
--- a/services/agent/agent_upstream.cpp
+++ b/services/agent/agent_upstream.cpp
@@ -24,7 +24,11 @@
 
 void agent_process::on_leave(const std::string& id)
 {
-    presence_->on_departure(id);
+    presence_->on_departure(id, transport::read_clock());
+    if (presence_->is_departure_undecided()) {
+        runtime_.counters().add("departures_undecided", 1);
+        observability::write_log(observability::log_level::info, "departure_undecided", {{"id", id}});
+    }
     update_presence();
 }
 
@@ -32,8 +36,10 @@
 /// answered only after this function has returned, so the packet thread has the new snapshot by then.
 void agent_process::update_presence()
 {
+    const auto now = transport::read_clock();
+    presence_->update(now);
     publish_agent_snapshot();
-    const auto state = presence_->state(transport::read_clock());
+    const auto state = presence_->state(now);
     if (state == std::exchange(reported_presence_, state))
         return;
     const auto& latest = presence_->latest();
@@ -70,6 +76,8 @@
     id_ = id;
     id_confirmed_ = find_own_upstream() != nullptr;
     const bool was_restarted = std::exchange(process_restarted_, is_restart_of(id));
+    if (presence_)
+        presence_->set_has_predecessor(process_restarted_);
     check_upstream_restart();
     if (is_new_id || process_restarted_ != was_restarted)
         observability::write_log(observability::log_level::info,
@@ -80,8 +88,16 @@
 core::incarnation agent_process::upstream_incarnation() const
 {
     // An upstream cannot start twice within the same millisecond, so its start time identifies the incarnation.
-    return presence_ && presence_->latest() ? core::incarnation(presence_->latest()->started_at_ms)
-                                            : core::incarnation{};
+    return presence_ ? core::incarnation(presence_->run_started_at_ms()) : core::incarnation{};
+}
+
+/// Tells the presence which run an earlier process of this agent has reported. Once the record names this process, the
+/// run in it comes from this process itself.
+void agent_process::read_recorded_run()
+{
+    const auto* const self = find_own_upstream();
+    if (presence_ && self != nullptr && self->agent != runtime_.identity().incarnation)
+        presence_->on_recorded_run(self->incarnation.value(), transport::read_clock());
 }
 
 /// Checks, once after a restart of this process, whether the upstream has restarted too. Its flows are then lost, and
@@ -91,7 +107,7 @@
 {
     const auto* const self = find_own_upstream();
     const auto current = upstream_incarnation();
-    if (!process_restarted_ || upstream_run_checked_ || self == nullptr || current == core::incarnation{})
+    if (!process_restarted_ || upstream_run_checked_ || self == nullptr || !presence_ || !presence_->latest())
         return;
     upstream_run_checked_ = true;
     if (self->incarnation == core::incarnation{} || self->incarnation == current)
