platform: Refuse status reports that lack a documented field

Cause: the adapter read only the fields that it uses; zone and version were not required, and a missing warmup-left-ms counted as 0.

--- a/libraries/ibisdyke/configuration/wire/object_reader.h
+++ b/libraries/ibisdyke/configuration/wire/object_reader.h
@@ -54,6 +54,12 @@
 
     bool has(const QString& name) const { return object_.contains(name); }
 
+    void require(const QString& name) const
+    {
+        if (!has(name))
+            fail(name, QJsonValue(QJsonValue::Undefined), "a value");
+    }
+
     std::string required_text(const QString& name)
     {
         const auto value = read_value(name);
