membership: Refuse heartbeats that contradict a record their sender has not applied

A heartbeat of a former agent process, or of the present one about a former run of its upstream, can arrive after its sender has ended. A leader without sequence numbers to compare with (newly elected, or with no trace of the process any more) took it over: the record then named the former run, drained, ended, or came back from gone, and the present process was refused as replaced for 10 s.

Ruled out: two heartbeats in a row as the condition, which delays every return by 0.5 s, and a sequence number in the record, which needs a log record for each heartbeat.

Change: a record has the version at which its agent or run changed or it became gone or came back. Whoever contradicts the record must have applied that version, unless the leader knows the sender's sequence numbers. A refused agent repeats its heartbeat as soon as it has applied the next state. The fixtures' processes apply the states, as real ones do; the test that counts changed senders leaves that out, with the same counts as before.

--- a/libraries/ibisdyke/membership/lease_table.cpp
+++ b/libraries/ibisdyke/membership/lease_table.cpp
@@ -187,6 +187,22 @@
         || known->packet_endpoint == it.packet_endpoint;
 }
 
+/// Whether the heartbeat may have been sent before the record of its upstream came to name another agent or run, or to
+/// say that the upstream is gone. A heartbeat can be held up on the network and arrive after its sender has ended, and
+/// a new leader knows no sequence numbers. A sender that has applied the record has sent the heartbeat after it.
+bool lease_table::may_be_outdated(const process_key& key, const heartbeat& it) const
+{
+    const auto* const known = it.sender_role == process_role::agent ? find_upstream(key) : nullptr;
+    if (known == nullptr || it.applied >= known->identity_since)
+        return false;
+    // Among the heartbeats of a sender that this leader knows, the sequence numbers show the order.
+    const auto holder = leases_.find(key);
+    if (holder != leases_.end() && holder->second.last.sender == it.sender)
+        return false;
+    return known->state == upstream_state::gone || it.departed || known->agent != it.sender
+        || known->incarnation != it.upstream_incarnation;
+}
+
 heartbeat_result lease_table::renew(
     lease& known, const process_key& key, const received_heartbeat& received, core::time_point now)
 {
@@ -205,7 +221,7 @@
 heartbeat_result lease_table::accept(const process_key& key, const received_heartbeat& received, core::time_point now)
 {
     const auto& it = received.message;
-    if (replaced_incarnations_.contains(it.sender))
+    if (replaced_incarnations_.contains(it.sender) || may_be_outdated(key, it))
         return heartbeat_result::name_taken;
     const auto holder = leases_.find(key);
     if (holder != leases_.end() && holder->second.last.sender == it.sender) {
--- a/libraries/ibisdyke/membership/lease_table.h
+++ b/libraries/ibisdyke/membership/lease_table.h
@@ -141,6 +141,7 @@
     heartbeat_result accept(const process_key& key, const received_heartbeat& received, core::time_point now);
     heartbeat_result renew(
         lease& known, const process_key& key, const received_heartbeat& received, core::time_point now);
+    bool may_be_outdated(const process_key& key, const heartbeat& it) const;
     bool may_take_over(const process_key& key, const heartbeat& it, core::time_point now) const;
     bool endpoint_is_in_use(const process_key& key, const core::endpoint& address, core::time_point now) const;
     bool is_in_hold_off(const upstream& known, core::time_point now) const;
--- a/libraries/ibisdyke/membership/membership_change.cpp
+++ b/libraries/ibisdyke/membership/membership_change.cpp
@@ -73,12 +73,16 @@
     // `starting` is not needed here.
     added.state = upstream_state::active;
     added.history.push_back({at, std::nullopt});
+    added.identity_since = at;
     state.upstreams.insert_or_assign(id, std::move(added));
 }
 
 void apply_update(upstream& known, const upstream_update& it, const core::version& at)
 {
     const bool was_gone = known.state == upstream_state::gone;
+    const bool is_gone = it.state == upstream_state::gone;
+    if (known.agent != it.agent || known.incarnation != it.incarnation || was_gone != is_gone)
+        known.identity_since = at;
     known.state = it.state;
     known.agent_replaced = known.agent_replaced || known.agent != it.agent;
     known.agent = it.agent;
@@ -86,7 +90,7 @@
     known.request_endpoint = it.request_endpoint;
     known.slots = it.slots;
     known.incarnation = it.incarnation;
-    if (it.state != upstream_state::gone)
+    if (!is_gone)
         known.gone_at.reset();
     else if (!was_gone)
         known.gone_at = it.proposed_at;
--- a/libraries/ibisdyke/membership/messages.h
+++ b/libraries/ibisdyke/membership/messages.h
@@ -84,6 +84,8 @@
     core::version history_exact_since{};
     /// Whether `agent` has replaced an earlier process of the agent.
     bool agent_replaced = false;
+    /// The version at which the agent or the incarnation last changed, or the upstream last became gone or came back.
+    core::version identity_since{};
 
     friend bool operator==(const upstream&, const upstream&) = default;
 };
@@ -143,7 +145,8 @@
     no_leader,
     /// The service of the sender does not exist, or not yet. The sender keeps trying.
     unknown_service,
-    /// Another live process uses the name or the packet endpoint, or has replaced the sender. The sender keeps trying.
+    /// Another live process uses the name or the packet endpoint, or has replaced the sender, or the heartbeat
+    /// contradicts a record that the sender has not applied yet. The sender keeps trying.
     name_taken,
 };
 
--- a/libraries/ibisdyke/membership/tests/batch_fixture.h
+++ b/libraries/ibisdyke/membership/tests/batch_fixture.h
@@ -69,6 +69,7 @@
         it.message.service = "dispatch";
         it.message.packet_endpoint = {1, static_cast<std::uint16_t>(7000 + agents_.size())};
         it.message.slots = 2;
+        it.message.applied = version_;
         it.follower = to;
         return it;
     }
@@ -87,6 +88,12 @@
         leases_->update(configuration_, shared, version_, now_);
         for (auto& it : followers_)
             it.senders.update(*configuration_, membership_, version_);
+        // Processes that had applied the state before apply the new one.
+        for (auto& [name, it] : agents_) {
+            if (agents_apply_states_ && it.message.applied == newest_applied_)
+                it.message.applied = version_;
+        }
+        newest_applied_ = version_;
     }
 
     lease_batch_answer deliver(const lease_batch& it)
@@ -198,6 +205,8 @@
     std::deque<follower> followers_;
     std::map<std::string, agent> agents_;
     std::uint64_t next_incarnation_ = 1;
+    core::version newest_applied_;
+    bool agents_apply_states_ = true;
     std::mt19937* random_ = nullptr;
 };
 
--- a/libraries/ibisdyke/membership/tests/lease_batch_test.cpp
+++ b/libraries/ibisdyke/membership/tests/lease_batch_test.cpp
@@ -25,6 +25,8 @@
     const auto joined = first.joined;
     const auto changed = first.changed;
     const auto batches = first.batches;
+    // A new version that an agent has applied is a change of its status too, and is not counted here.
+    agents_apply_states_ = false;
     run(10s);
     CHECK(first.joined == joined);
     CHECK(first.changed == changed);
--- a/libraries/ibisdyke/membership/tests/lease_fixture.h
+++ b/libraries/ibisdyke/membership/tests/lease_fixture.h
@@ -41,6 +41,7 @@
         it.packet_endpoint = {1, port};
         it.request_endpoint = {1, static_cast<std::uint16_t>(port + 1)};
         it.slots = 2;
+        it.applied = version_;
         return it;
     }
 
@@ -99,7 +100,16 @@
         return true;
     }
 
-    void update() { table_.update(configuration_, state_, version_, now_); }
+    /// Processes that had applied the state before apply the new one.
+    void update()
+    {
+        table_.update(configuration_, state_, version_, now_);
+        for (auto& [name, it] : senders_) {
+            if (it.applied == newest_applied_)
+                it.applied = version_;
+        }
+        newest_applied_ = version_;
+    }
 
     /// Replaces the lease table by a table of a new leader, with the same replicated state.
     void change_leader()
@@ -143,6 +153,7 @@
     std::set<std::string> silent_;
     membership_change last_change_;
     std::uint64_t next_incarnation_ = 1;
+    core::version newest_applied_;
     int record_count_ = 0;
 };
 
--- a/libraries/ibisdyke/membership/wire/codec.cpp
+++ b/libraries/ibisdyke/membership/wire/codec.cpp
@@ -181,6 +181,8 @@
         to_wire(value.flow_watermark, *message.mutable_flow_watermark());
     if (value.history_exact_since != core::version{})
         to_wire(value.history_exact_since, *message.mutable_exact_since());
+    if (value.identity_since != core::version{})
+        to_wire(value.identity_since, *message.mutable_identity_since());
 }
 
 upstream from_wire(const Upstream& message)
@@ -202,6 +204,7 @@
         result.history.push_back(from_wire(it));
     result.flow_watermark = from_wire(message.flow_watermark());
     result.history_exact_since = from_wire(message.exact_since());
+    result.identity_since = from_wire(message.identity_since());
     return result;
 }
 
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -241,6 +241,8 @@
     find_own_id();
     read_recorded_run();
     start_heartbeats();
+    if (std::exchange(heartbeat_refused_, false))
+        heartbeats_->send_now();
     const auto domain = domain_state();
     const auto before = std::exchange(last_domain_state_, domain);
     if (before != configuration::domain_state::in && domain == configuration::domain_state::in)
@@ -254,6 +256,7 @@
 void agent_process::on_heartbeat_answer(const membership::heartbeat_answer& answer)
 {
     refresh(answer.latest);
+    heartbeat_refused_ = answer.result == membership::heartbeat_result::name_taken;
     if (answer.result != membership::heartbeat_result::accepted)
         return;
     mean_open_flows_ = answer.mean_open_flows;
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -120,6 +120,9 @@
     /// The presence that was logged and sent in a heartbeat last.
     membership::presence reported_presence_ = membership::presence::absent;
     bool heartbeats_started_ = false;
+    /// Whether the last heartbeat was refused. The next state may remove the reason, so a heartbeat then follows at
+    /// once.
+    bool heartbeat_refused_ = false;
     /// Whether the upstream returns packets of flows that it does not know.
     bool upstream_returns_packets_ = false;
     /// When the failure domain last began to accept new flows again. The upstream may have restarted before that, so
