agent: Ask a restarted upstream for the flows that it holds

Hosts restarted, and the agents beside them, as planned, 0.2 s after the hosts' first reports.

The rule asks for it: hosts, links and agents had been undisturbed for longer than contact-ms, a planned restart always counts, and the hosts held the flows and had sent no reset.

Cause: a restarted agent took a difference between the recorded run and the present one for a restart of the host while no agent ran, and then did not ask the host for unknown flows. The former process reports a new run up to 500 ms after it has passed flows to it. Trace: upstream_restarted with two different born times, no flow_passed_on, flow_rejected reason=unknown_flow for each lost flow. Ruled out: lost records (the leader's show every upstream active).

Change: the decision is membership::may_hold_unknown_flows. A host that returns packets of flows that it does not hold is always asked. An agent sends a heartbeat at once when its upstream announces another run.

--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -5,6 +5,7 @@
 #include "ibisdyke/frontends/discovery/routing_input.h"
 #include "ibisdyke/frontends/packets/flow_report.h"
 #include "ibisdyke/frontends/requests/admission_reporter.h"
+#include "ibisdyke/membership/agent_restart.h"
 #include "ibisdyke/observability/log.h"
 #include "ibisdyke/routing/routing_table.h"
 #include "ibisdyke/transport/clock.h"
@@ -360,9 +361,9 @@
     if (const auto age = subscriber_->age())
         next.table_current_until = transport::read_clock() - *age + dissemination::subscription_limits{}.max_age;
     next.domain_out_of_service = is_domain_out();
-    const bool may_hold_unknown_flows =
-        process_restarted_ && !upstream_restarted_ && !has_upstream_left(transport::read_clock());
-    if (may_hold_unknown_flows)
+    const membership::agent_restart restart{
+        process_restarted_, upstream_restarted_, has_upstream_left(transport::read_clock()), upstream_returns_packets_};
+    if (membership::may_hold_unknown_flows(restart))
         next.recovering_until = started_at_ + recovery_window_;
     next.admission = make_admission(transport::read_clock());
     const auto current = agent_snapshots_.load();
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -120,6 +120,8 @@
     /// The presence that was logged and sent in a heartbeat last.
     membership::presence reported_presence_ = membership::presence::absent;
     bool heartbeats_started_ = false;
+    /// The run of the upstream that was last sent in a heartbeat at once.
+    core::incarnation reported_run_{};
     /// Whether the last heartbeat was refused. The next state may remove the reason, so a heartbeat then follows at
     /// once.
     bool heartbeat_refused_ = false;
--- a/services/agent/agent_upstream.cpp
+++ b/services/agent/agent_upstream.cpp
@@ -19,6 +19,9 @@
     slots_ = it.slots;
     check_upstream_restart();
     start_heartbeats();
+    // A process that replaces this one compares its upstream's run with the recorded one.
+    if (std::exchange(reported_run_, upstream_incarnation()) != upstream_incarnation() && heartbeats_started_)
+        heartbeats_->send_now();
     update_presence();
 }
 
@@ -101,8 +104,9 @@
 }
 
 /// Checks, once after a restart of this process, whether the upstream has restarted too. Its flows are then lost, and
-/// the agent must not ask the upstream for them. The record still contains the incarnation that the earlier process
-/// reported, because this process reports the current one only after the comparison.
+/// the agent must not adopt them, unless the upstream returns packets of flows that it does not hold. The record still
+/// contains the incarnation that the earlier process reported, because this process reports the current one only after
+/// the comparison.
 void agent_process::check_upstream_restart()
 {
     const auto* const self = find_own_upstream();
