agent: Renew the record of an upstream from the start of a restarted agent

Agents restarted in turn, each 0.95 s after its exit.

Cause: a restarted agent sent its first heartbeat after its host's first report, up to 1.2 s after its start, and the lease of the record lasts 2 s. Trace: stopping at 17:58.597, started at 17:59.569, upstream_recorded state=gone at 18:00.584, the host's report at 18:00.601, flow_rejected at another agent at 18:00.735. Ruled out: a longer lease, which would delay the detection of every death.

Change: an agent that finds the record of its earlier process goes on reporting the recorded run and state, until the upstream announces itself or three announcement periods have passed.

--- a/libraries/ibisdyke/membership/tests/upstream_presence_test.cpp
+++ b/libraries/ibisdyke/membership/tests/upstream_presence_test.cpp
@@ -120,3 +120,43 @@
     CHECK(it.on_announcement(announced("a", 5, 2), start + 1s));
     CHECK(it.cold_until() == start + 1s);
 }
+
+// A restarted agent waits for the upstream's next announcement. Until then it goes on with what its earlier process has
+// reported; otherwise the lease of the record ends, and balancers and other agents reject the upstream's open flows.
+TEST_CASE("a recorded upstream keeps its state until its next announcement is overdue")
+{
+    for (const bool draining : {false, true}) {
+        INFO("draining " << draining);
+        auto it = make_presence();
+        it.on_record({9, draining}, start);
+        CHECK(it.state(start) == presence::recorded);
+        CHECK(it.is_draining(start) == draining);
+        CHECK(it.run_started_at_ms() == 9);
+        CHECK(it.state(start + 3s) == presence::recorded);
+        CHECK(it.state(start + 3001ms) == presence::absent);
+        CHECK(it.on_announcement(announced("a", 9, 7), start + 3100ms));
+        CHECK(it.state(start + 3100ms) == presence::ready);
+    }
+}
+
+// The upstream may have stopped while no agent ran. Its notice must then not be lost, and its silence decides.
+TEST_CASE("a departure notice before the first announcement ends a recorded upstream that stays silent")
+{
+    auto it = make_presence();
+    it.set_has_predecessor(true);
+    it.on_record({9, true}, start);
+    for (auto at = start; at <= start + 2s; at += 100ms) {
+        if (at == start + 100ms)
+            it.on_departure("a", at);
+        it.update(at);
+    }
+    CHECK(it.state(start + 2s) == presence::left);
+}
+
+// An upstream whose run is not recorded has nothing that a restarted agent could go on with.
+TEST_CASE("a record without a run leaves the upstream absent")
+{
+    auto it = make_presence();
+    it.on_record({}, start);
+    CHECK(it.state(start) == presence::absent);
+}
--- a/libraries/ibisdyke/membership/upstream_presence.cpp
+++ b/libraries/ibisdyke/membership/upstream_presence.cpp
@@ -32,6 +32,8 @@
         return "draining";
     case presence::left:
         return "left";
+    case presence::recorded:
+        return "recorded";
     case presence::absent:
         break;
     }
@@ -94,7 +96,7 @@
 {
     if (std::find(replaced_runs_.begin(), replaced_runs_.end(), run_of(it)) != replaced_runs_.end())
         return false;
-    if (latest_ ? it.started_at_ms > latest_->started_at_ms : it.started_at_ms >= recorded_run_.value_or(0))
+    if (latest_ ? it.started_at_ms > latest_->started_at_ms : !record_ || it.started_at_ms >= record_->started_at_ms)
         return true;
     // The upstream's clock may have been set back between two runs, so an earlier start time alone does not make an
     // announcement late. Such a run begins if it lives and the current run does not.
@@ -140,12 +142,13 @@
         || std::any_of(replaced_runs_.begin(), replaced_runs_.end(), [&id](const auto& it) { return it.id == id; });
 }
 
-void upstream_presence::on_recorded_run(std::uint64_t started_at_ms, core::time_point now)
+void upstream_presence::on_record(const recorded_upstream& it, core::time_point now)
 {
-    if (started_at_ms == 0 || recorded_run_ == started_at_ms)
+    if (it.started_at_ms == 0 || record_ == it)
         return;
-    recorded_run_ = started_at_ms;
-    if (!latest_ || latest_->started_at_ms >= started_at_ms)
+    record_ = it;
+    record_read_at_ = now;
+    if (!latest_ || latest_->started_at_ms >= it.started_at_ms)
         return;
     earlier_run_.reset();
     earlier_run_.add(run_of(*latest_), latest_->sequence, now);
@@ -173,14 +176,27 @@
 {
     if (has_left_)
         return presence::left;
-    if (!latest_ || now - last_announcement_at_ > max_missed_announcements * period_)
+    const auto last_sign = latest_ ? last_announcement_at_ : record_read_at_;
+    if ((!latest_ && !record_) || now - last_sign > max_missed_announcements * period_)
         return presence::absent;
-    return latest_->draining || undecided_departure_ ? presence::draining : presence::ready;
+    if (undecided_departure_)
+        return presence::draining;
+    if (!latest_)
+        return presence::recorded;
+    return latest_->draining ? presence::draining : presence::ready;
+}
+
+bool upstream_presence::is_draining(core::time_point now) const
+{
+    const auto current = state(now);
+    return current == presence::draining || (current == presence::recorded && record_->draining);
 }
 
 std::uint64_t upstream_presence::run_started_at_ms() const
 {
-    return latest_ ? latest_->started_at_ms : recorded_run_.value_or(0);
+    if (latest_)
+        return latest_->started_at_ms;
+    return record_ ? record_->started_at_ms : 0;
 }
 
 } // namespace ibisdyke::membership
--- a/libraries/ibisdyke/membership/upstream_presence.h
+++ b/libraries/ibisdyke/membership/upstream_presence.h
@@ -37,15 +37,28 @@
 enum class presence : std::uint8_t {
     /// No announcement was received yet, or none for some time.
     absent,
+    /// No announcement was received yet since a restart of the agent, which has read the record of the upstream that
+    /// its
+    /// earlier process announced. The upstream keeps its open flows.
+    recorded,
     ready,
     draining,
     /// The upstream has announced that it stopped.
     left,
 };
 
-/// Returns "absent", "ready", "draining" or "left".
+/// Returns "absent", "recorded", "ready", "draining" or "left".
 std::string_view to_string(presence it);
 
+/// What the record of the upstream says that an earlier process of the agent has announced.
+struct recorded_upstream {
+    /// The start time of the run.
+    std::uint64_t started_at_ms = 0;
+    bool draining = false;
+
+    friend bool operator==(const recorded_upstream&, const recorded_upstream&) = default;
+};
+
 /// Tracks the upstream on an agent's host by its announcements. Used by the control thread.
 ///
 /// The upstream restarts on its host, at times under the same id, and messages of its former runs may arrive at any
@@ -71,9 +84,9 @@
     /// that this process does not know. Until the first call this is assumed.
     void set_has_predecessor(bool it) { has_predecessor_ = it; }
 
-    /// Processes the start time of the run that an earlier process of the agent has reported last. Announcements of
-    /// runs that started before are late, also if one of them was the first that this process received.
-    void on_recorded_run(std::uint64_t started_at_ms, core::time_point now);
+    /// Processes the record of the run that an earlier process of the agent has reported last. Announcements of runs
+    /// that started before are late, also if one of them was the first that this process received.
+    void on_record(const recorded_upstream& it, core::time_point now);
 
     /// Decides about a departure notice. Called once per tick of the agent. A longer time between two calls means that
     /// the process was paused, and that announcements which arrived meanwhile are still to be read.
@@ -81,6 +94,9 @@
 
     presence state(core::time_point now) const;
 
+    /// Whether the upstream drains, or is recorded as draining while it has not announced itself to this process.
+    bool is_draining(core::time_point now) const;
+
     /// Whether a departure notice may be of a former run, and no silence or announcement has decided it yet.
     bool is_departure_undecided() const { return undecided_departure_.has_value(); }
 
@@ -122,8 +138,8 @@
     std::optional<announcement> latest_;
     /// Runs that a later run has replaced, oldest first. Bounded.
     std::vector<upstream_run> replaced_runs_;
-    /// The start time of the run that an earlier process of the agent has reported.
-    std::optional<std::uint64_t> recorded_run_;
+    std::optional<recorded_upstream> record_;
+    core::time_point record_read_at_{};
     bool has_predecessor_ = true;
     bool has_left_ = false;
     /// Whether the departure notice was certainly of the current run.
--- a/services/agent/agent_process.cpp
+++ b/services/agent/agent_process.cpp
@@ -240,7 +240,7 @@
     if (!first_state_version_)
         first_state_version_ = state->applied;
     find_own_id();
-    read_recorded_run();
+    read_own_record();
     start_heartbeats();
     if (std::exchange(heartbeat_refused_, false))
         heartbeats_->send_now();
@@ -427,7 +427,7 @@
     result.request_endpoint = request_endpoint_;
     result.slots = slots_;
     result.upstream_incarnation = upstream_incarnation();
-    result.draining = stop_deadline_.has_value() || !is_upstream_ready(transport::read_clock());
+    result.draining = stop_deadline_.has_value() || !is_upstream_available(transport::read_clock());
     result.departed = has_upstream_left(transport::read_clock());
     result.usage = usage_.take_report(transport::read_clock());
     return frontends::with_flows(std::move(result), receiver_->view());
--- a/services/agent/agent_process.h
+++ b/services/agent/agent_process.h
@@ -50,11 +50,12 @@
     void find_own_id();
     bool is_restart_of(const core::upstream_id& id) const;
     core::incarnation upstream_incarnation() const;
-    void read_recorded_run();
+    void read_own_record();
     void check_upstream_restart();
     const membership::upstream* find_own_upstream() const;
     bool is_draining() const;
     bool is_upstream_ready(core::time_point now) const;
+    bool is_upstream_available(core::time_point now) const;
     configuration::domain_state domain_state() const;
     bool is_domain_out() const { return domain_state() == configuration::domain_state::out; }
     bool is_cold(core::time_point now) const;
--- a/services/agent/agent_upstream.cpp
+++ b/services/agent/agent_upstream.cpp
@@ -57,8 +57,10 @@
 void agent_process::start_heartbeats()
 {
     // The agent announces the upstream only after the first state has arrived, because that state shows whether an
-    // earlier process announced this upstream.
-    const bool upstream_present = !presence_ || presence_->latest();
+    // earlier process announced this upstream. If one did, its record must not expire before the upstream's next
+    // announcement: balancers and other agents would no longer look for its open flows.
+    const bool upstream_present =
+        !presence_ || presence_->state(transport::read_clock()) != membership::presence::absent;
     if (first_state_version_ && upstream_present && !std::exchange(heartbeats_started_, true))
         heartbeats_->start();
 }
@@ -73,6 +75,14 @@
     return !presence_ || presence_->state(now) == membership::presence::ready;
 }
 
+/// Whether the upstream takes new flows, or did by its record and has not announced itself to this process yet.
+bool agent_process::is_upstream_available(core::time_point now) const
+{
+    if (is_upstream_ready(now))
+        return true;
+    return presence_->state(now) == membership::presence::recorded && !presence_->is_draining(now);
+}
+
 void agent_process::set_own_id(const core::upstream_id& id)
 {
     const bool is_new_id = id_ != id;
@@ -94,13 +104,17 @@
     return presence_ ? core::incarnation(presence_->run_started_at_ms()) : core::incarnation{};
 }
 
-/// Tells the presence which run an earlier process of this agent has reported. Once the record names this process, the
-/// run in it comes from this process itself.
-void agent_process::read_recorded_run()
+/// Tells the presence what an earlier process of this agent has reported. Once the record names this process, it says
+/// what this process has reported itself.
+void agent_process::read_own_record()
 {
     const auto* const self = find_own_upstream();
-    if (presence_ && self != nullptr && self->agent != runtime_.identity().incarnation)
-        presence_->on_recorded_run(self->incarnation.value(), transport::read_clock());
+    if (!presence_ || self == nullptr || self->agent == runtime_.identity().incarnation)
+        return;
+    presence_->on_record(
+        {self->incarnation.value(), self->state == membership::upstream_state::draining}, transport::read_clock());
+    if (!presence_->latest())
+        slots_ = self->slots;
 }
 
 /// Checks, once after a restart of this process, whether the upstream has restarted too. Its flows are then lost, and
