routing: Assign later copies of a first packet where the first one was assigned

Cause: the second copy follows the redirect entries of the first to the last candidate, whose entry names the candidate that it has assigned the flow to. The second copy has asked that one already, before the flow began there, so the last candidate took the entry for out of date and began the flow itself. Ruled out: reordering, since the test forwards the copies in order.

Change: a redirect entry says whether it is an assignment. A copy in phase place that has asked the assigned member already goes there in phase assign. Entries that only pass a flow on are treated as before.

--- a/libraries/ibisdyke/routing/flow_agent.cpp
+++ b/libraries/ibisdyke/routing/flow_agent.cpp
@@ -161,9 +161,15 @@
     auto next = header;
     next.asked |= 1U << header.position;
     const auto position = find_or_add_member(next, *known->redirect);
+    if (!was_asked(next, position))
+        return forwarded(std::move(next), position);
     // The member no longer knows the flow, but may adopt it at the end of the search.
-    if (was_asked(next, position))
+    if (!known->assigned || header.phase != search_phase::place)
         return std::nullopt;
+    // Another copy of the first packet was assigned to the member after this one had asked it. A new flow must not
+    // begin at another member because of this copy.
+    next.phase = search_phase::assign;
+    next.fallback = position;
     return forwarded(std::move(next), position);
 }
 
--- a/libraries/ibisdyke/routing/flow_agent_placement.cpp
+++ b/libraries/ibisdyke/routing/flow_agent_placement.cpp
@@ -159,7 +159,7 @@
 {
     // The redirect entry leads retransmissions and later packets of the flow to the member that takes it. If the table
     // is full, a search finds the member.
-    flows_.insert(packet, {header.chain[position], header.table}, now);
+    flows_.insert(packet, {header.chain[position], header.table, std::nullopt, phase == search_phase::assign}, now);
     header.phase = phase;
     return forwarded(std::move(header), position);
 }
--- a/libraries/ibisdyke/routing/flow_table.h
+++ b/libraries/ibisdyke/routing/flow_table.h
@@ -40,6 +40,8 @@
     core::version began;
     /// The service of the member in `redirect`; nothing if it is the agent's own service.
     std::optional<core::service_id> redirect_service = std::nullopt;
+    /// Whether this agent, as the last candidate, assigned the flow to the member in `redirect`.
+    bool assigned = false;
 
     friend bool operator==(const flow_entry&, const flow_entry&) = default;
 };
