membership: Keep a late report from before a drain from ending the drain

A restarted agent knows no sequence numbers, so a report of the present run from before its drain ended the drain until the next report; the agent now asks for a second one when its record says that the upstream drains, also if the report came before the record.

--- a/libraries/ibisdyke/membership/tests/former_run_test.cpp
+++ b/libraries/ibisdyke/membership/tests/former_run_test.cpp
@@ -304,3 +304,34 @@
     CHECK(it.state(start + 1s) == presence::ready);
     CHECK_FALSE(it.on_announcement(announced(5, 72), start + 3s));
 }
+
+// A host that drains must get no new flows, also if one of its reports from before the drain reaches an agent that has
+// restarted since. If it was recorded as draining only because it was silent, its next two announcements show that.
+TEST_CASE("a late announcement from before a recorded drain does not end the drain")
+{
+    upstream_presence it{"desk", address, period};
+    const bool came_before_record = GENERATE(false, true);
+    if (came_before_record)
+        CHECK(it.on_announcement(announced(9, 5), start - 100ms));
+    it.on_record({9, true}, start);
+    if (!came_before_record)
+        CHECK_FALSE(it.on_announcement(announced(9, 5), start + 100ms));
+    CHECK_FALSE(it.on_announcement(announced(9, 6), start + 100ms));
+    CHECK(it.is_draining(start + 100ms));
+    SECTION("the upstream goes on draining")
+    {
+        CHECK(it.on_announcement(announced(9, 8, true), start + 1s));
+        CHECK(it.state(start + 1s) == presence::draining);
+        CHECK_FALSE(it.on_announcement(announced(9, 7), start + 2s));
+    }
+    SECTION("the upstream announces that it is ready")
+    {
+        CHECK(it.on_announcement(announced(9, 8), start + 1s));
+        CHECK(it.state(start + 1s) == presence::ready);
+    }
+    SECTION("the upstream restarts")
+    {
+        CHECK(it.on_announcement(announced(12, 1), start + 1s));
+        CHECK(it.state(start + 1s) == presence::ready);
+    }
+}
--- a/libraries/ibisdyke/membership/upstream_presence.cpp
+++ b/libraries/ibisdyke/membership/upstream_presence.cpp
@@ -96,8 +96,11 @@
 {
     if (std::find(replaced_runs_.begin(), replaced_runs_.end(), run_of(it)) != replaced_runs_.end())
         return false;
-    if (latest_ ? it.started_at_ms > latest_->started_at_ms : !record_ || it.started_at_ms >= record_->started_at_ms)
+    if (latest_ ? it.started_at_ms > latest_->started_at_ms : !may_be_late(it))
         return true;
+    // The recorded run drains, or has been silent. This process knows none of its sequence numbers.
+    if (!latest_ && it.started_at_ms == record_->started_at_ms)
+        return current_run_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
     // The upstream's clock may have been set back between two runs, so an earlier start time alone does not make an
     // announcement late. Such a run begins if it lives and the current run does not.
     const auto count = earlier_run_.add(run_of(it), it.sequence, now);
@@ -148,12 +151,23 @@
         return;
     record_ = it;
     record_read_at_ = now;
-    if (!latest_ || latest_->started_at_ms >= it.started_at_ms)
+    if (!latest_ || !may_be_late(*latest_))
         return;
-    earlier_run_.reset();
-    earlier_run_.add(run_of(*latest_), latest_->sequence, now);
-    latest_.reset();
+    // What came before the record counts as it would have counted after it.
+    const auto first = *std::exchange(latest_, std::nullopt);
     has_left_ = false;
+    current_run_.reset();
+    earlier_run_.reset();
+    static_cast<void>(may_begin_run(first, now));
+}
+
+/// Whether an announcement may have been sent before the recorded one.
+bool upstream_presence::may_be_late(const announcement& it) const
+{
+    if (!record_)
+        return false;
+    const bool is_recorded_run = it.started_at_ms == record_->started_at_ms;
+    return it.started_at_ms < record_->started_at_ms || (is_recorded_run && record_->draining && !it.draining);
 }
 
 void upstream_presence::update(core::time_point now)
--- a/libraries/ibisdyke/membership/upstream_presence.h
+++ b/libraries/ibisdyke/membership/upstream_presence.h
@@ -126,6 +126,7 @@
     };
 
     bool is_current_run(const announcement& it) const;
+    bool may_be_late(const announcement& it) const;
     bool may_begin_run(const announcement& it, core::time_point now);
     bool continues_run(const announcement& it, core::time_point now);
     void begin_run(const announcement& it);
