measure: Drop answers of a process that was started again since the request

Found while reading for a cause: the state of a process is polled, and its version was counted for the run that was current when the answer was handled. On a busy machine that may be the next run, whose first version then counts as a revert.

Change: an answer is dropped if the process was started since the request. The line of a revert names the run.

--- a/utilities/measure/experiments/observer.cpp
+++ b/utilities/measure/experiments/observer.cpp
@@ -35,6 +35,11 @@
     return result;
 }
 
+status_poller::run_counter run_counter(running_system& system)
+{
+    return [&system](const std::string& name) { return system.processes().process(name).start_count(); };
+}
+
 } // namespace
 
 observer::observer(running_system& system, QObject* parent)
@@ -43,10 +48,10 @@
     , faults_(upstream_domains(system))
     , usage_(system.processes())
     , health_poller_(
-          admin_endpoints(system), "/health", health_interval_ms,
+          admin_endpoints(system), "/health", health_interval_ms, run_counter(system),
           [this](const auto& process, int status, const auto&) { handle_health(process, status); }, this)
     , state_poller_(
-          admin_endpoints(system), "/state", state_interval_ms,
+          admin_endpoints(system), "/state", state_interval_ms, run_counter(system),
           [this](const auto& process, int, const auto& body) { handle_state(process, body); }, this)
     , sample_timer_(this)
 {
--- a/utilities/measure/operators/config_tracker.cpp
+++ b/utilities/measure/operators/config_tracker.cpp
@@ -17,7 +17,8 @@
 {
     auto& last = latest_[process];
     if (last.run == run && applied < last.applied)
-        reverts_.push_back(process + " reverted from version " + to_string(last.applied) + " to " + to_string(applied));
+        reverts_.push_back(process + " reverted from version " + to_string(last.applied) + " to " + to_string(applied)
+            + " in its run " + std::to_string(run));
     last = {run, applied};
 }
 
