--- a/libraries/ibisdyke/routing/messages.h
+++ b/libraries/ibisdyke/routing/messages.h
@@ -20,10 +20,8 @@
     /// Begin the flow here if the upstream may take it. No member knows the flow.
     place,
     /// Begin or adopt the flow here even if the upstream is loaded; a flow that other candidates have passed back only
-    /// if
-    /// it can still be answered in time. No member knows the flow, and this one is the least loaded candidate or may
-    /// have
-    /// lost the flow in a restart. The baseline routers use it for every packet.
+    /// if it can still be answered in time. No member knows the flow, and this one is the least loaded candidate or may
+    /// have lost the flow in a restart. The baseline routers use it for every packet.
     assign,
 };
 
