--- a/libraries/ibisdyke/membership/tests/agent_restart_test.cpp
+++ b/libraries/ibisdyke/membership/tests/agent_restart_test.cpp
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-using ibisdyke::membership::agent_restart;
 using ibisdyke::membership::may_hold_unknown_flows;
 
 // An agent that restarts shortly after its upstream finds the run before in the record, although its earlier process
