membership: Name the evidence of live runs as such

Two members of upstream_presence were called current_run_ and earlier_run_, as if they held the runs; they hold the announcements that show whether a run lives. No behaviour changes.

--- a/libraries/ibisdyke/membership/upstream_presence.cpp
+++ b/libraries/ibisdyke/membership/upstream_presence.cpp
@@ -44,8 +44,8 @@
     : service_(std::move(service))
     , address_(address)
     , period_(period)
-    , current_run_(period / 2)
-    , earlier_run_(period / 2)
+    , current_run_evidence_(period / 2)
+    , earlier_run_evidence_(period / 2)
 {
 }
 
@@ -60,7 +60,7 @@
         if (!may_begin_run(it, now))
             return false;
         begin_run(it);
-        current_run_.add(run_of(it), it.sequence, now);
+        current_run_evidence_.add(run_of(it), it.sequence, now);
     }
     latest_ = it;
     last_announcement_at_ = now;
@@ -81,7 +81,7 @@
         return true;
     if (has_left_ && departure_is_certain_)
         return false;
-    const bool lives = current_run_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
+    const bool lives = current_run_evidence_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
     if (has_left_ && !lives)
         return false;
     if (std::exchange(has_left_, false))
@@ -100,10 +100,10 @@
         return true;
     // The recorded run drains, or has been silent. This process knows none of its sequence numbers.
     if (!latest_ && it.started_at_ms == record_->started_at_ms)
-        return current_run_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
+        return current_run_evidence_.add(run_of(it), it.sequence, now) >= announcements_of_live_run;
     // The upstream's clock may have been set back between two runs, so an earlier start time alone does not make an
     // announcement late. Such a run begins if it lives and the current run does not.
-    const auto count = earlier_run_.add(run_of(it), it.sequence, now);
+    const auto count = earlier_run_evidence_.add(run_of(it), it.sequence, now);
     if (has_left_ || undecided_departure_ || !latest_)
         return count >= announcements_of_unlikely_run;
     return count >= announcements_of_live_run && now - last_announcement_at_ > max_silence();
@@ -120,8 +120,8 @@
         undecided_departure_.reset();
     ++run_count_;
     has_left_ = false;
-    current_run_.reset();
-    earlier_run_.reset();
+    current_run_evidence_.reset();
+    earlier_run_evidence_.reset();
 }
 
 void upstream_presence::on_departure(const std::string& id, core::time_point now)
@@ -136,7 +136,7 @@
     if (undecided_departure_ && undecided_departure_->id == id)
         return;
     undecided_departure_ = departure_notice{id, now};
-    current_run_.reset();
+    current_run_evidence_.reset();
 }
 
 bool upstream_presence::may_have_former_run(const std::string& id) const
@@ -156,8 +156,8 @@
     // What came before the record counts as it would have counted after it.
     const auto first = *std::exchange(latest_, std::nullopt);
     has_left_ = false;
-    current_run_.reset();
-    earlier_run_.reset();
+    current_run_evidence_.reset();
+    earlier_run_evidence_.reset();
     static_cast<void>(may_begin_run(first, now));
 }
 
@@ -183,7 +183,7 @@
     has_left_ = true;
     departure_is_certain_ = false;
     undecided_departure_.reset();
-    current_run_.reset();
+    current_run_evidence_.reset();
 }
 
 presence upstream_presence::state(core::time_point now) const
--- a/libraries/ibisdyke/membership/upstream_presence.h
+++ b/libraries/ibisdyke/membership/upstream_presence.h
@@ -147,9 +147,9 @@
     bool departure_is_certain_ = false;
     std::optional<departure_notice> undecided_departure_;
     /// Announcements of the current run since a departure notice.
-    liveness_evidence current_run_;
+    liveness_evidence current_run_evidence_;
     /// Announcements of a run with an earlier start time than the current one.
-    liveness_evidence earlier_run_;
+    liveness_evidence earlier_run_evidence_;
     core::time_point last_announcement_at_{};
     std::optional<core::time_point> last_update_at_;
     core::time_point last_pause_at_{};
