review: Let the scripts of cases 13 to 15 read TROUBLE themselves

Cause: only the shared Python file read it, so run.sh did not show that the quiet run leaves the disruption out. Tried: run.sh chooses by TROUBLE and hands the choice to the case as its argument.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -476,9 +476,15 @@
 
 
 def run_case(case_folder, net, case):
-    """Runs `case(deployment, trouble)`, which returns a list of breaks, and exits with the result of the case."""
+    """Runs `case(deployment, trouble)`, which returns a list of breaks, and exits with the result of the case.
+
+    The argument of the program, which run.sh chooses by TROUBLE, says whether the disruption takes place."""
+    if sys.argv[1:] not in (["with-disruption"], ["without-disruption"]):
+        print("usage: case.py with-disruption|without-disruption")
+        raise SystemExit(2)
     deployment = Deployment(case_folder, net)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1] == "with-disruption"
+    deployment.record("begin", disruption=trouble)
     code = 2
     try:
         loop = asyncio.new_event_loop()
